Add the decision library and the message codecs

Cause: an empty repository; the whole path needs types that both daemons share. Change: the core package decides placement, tickets, the record of requests, admission, retries, flows, membership and configuration without sockets or clocks; the wire package encodes CoAP and the packets between processes. Ruled out: a flow table shared by balancers and a platform write for each request, which the platform's rates and the missing coordination service forbid. Conclusion: compiles; nothing is measured or proved yet.

--- /dev/null
+++ b/crates/core/src/agent/flows.rs
@@ -0,0 +1,418 @@
+//! Who owns a flow of opaque datagrams, and where its datagrams go.
+//!
+//! Balancers hand a flow's first datagram to its anchor, the first candidate that hashing names.
+//! An anchor that does not know the flow has the next candidates asked before it counts as new, so
+//! that balancers with different views still meet at the same owner. The owner is the truth; it
+//! registers the flow with the first candidates of its view, again whenever these change.
+
+use std::net;
+
+use crate::agent;
+use crate::balancer;
+use crate::flow_table;
+use crate::ids;
+use crate::load;
+use crate::message;
+use crate::placement;
+use crate::routing;
+
+impl agent::AgentEngine {
+    /// Handles a flow's datagram.
+    pub(crate) fn handle_flow(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        if self.flows.owns(&flow) {
+            return self.deliver_owned(packet, now, actions);
+        }
+        match packet.step.clone() {
+            message::ForwardStep::FlowAdopt => self.adopt_flow(packet, now, actions),
+            message::ForwardStep::FlowMissing => self.found_missing(packet, now, actions),
+            message::ForwardStep::FlowLookup { anchor, rest } => {
+                self.answer_lookup(packet, anchor, rest, actions);
+            }
+            _ => self.find_owner(packet, now, actions),
+        }
+    }
+
+    /// Takes in what another agent says of a flow's owner.
+    pub(crate) fn note_owner(
+        &mut self,
+        from: ids::InstanceId,
+        flow: placement::FlowKey,
+        notice: message::OwnerNotice,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let owner = match notice {
+            message::OwnerNotice::Closed => return self.flows.forget_owner(&flow, from),
+            message::OwnerNotice::Owned(owner) => owner,
+            // The other anchor goes first; it is asked from now on, and tells who the owner is.
+            message::OwnerNotice::Yield => {
+                return self.flush_lookup(flow, from, message::ForwardStep::FlowFirst, actions);
+            }
+        };
+        if self.flows.owns(&flow) || owner == self.config.instance {
+            return;
+        }
+        self.flows.learn_owner(flow, owner);
+        self.flush_lookup(flow, owner, message::ForwardStep::FlowOwned, actions);
+    }
+
+    /// Passes a backend server's datagram back to the caller.
+    pub(crate) fn answer_flow(
+        &mut self,
+        flow: placement::FlowKey,
+        payload: Vec<u8>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(owned) = self.flows.owned_mut(&flow) else { return };
+        owned.touched = now;
+        let (address, via) = (owned.address, owned.via);
+        let Some(to) = self.answer_address(via) else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
+        };
+        let head = self.head();
+        let reply = message::ReplyPacket {
+            head,
+            service: flow.service,
+            address,
+            caller: flow.caller,
+            payload,
+        };
+        let packet = message::PeerPacket::Reply(reply);
+        actions.push(agent::AgentAction::Send { to, packet });
+    }
+
+    /// Decides about flows whose lookup got no answer.
+    pub(crate) fn end_overdue_lookups(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        for flow in self.flows.overdue(now) {
+            let Some(pending) = self.flows.end_lookup(&flow) else { continue };
+            let mut first = pending.first;
+            first.step = message::ForwardStep::FlowFirst;
+            self.place_flow(first, now, actions);
+            for packet in pending.held {
+                self.handle_flow(packet, now, actions);
+            }
+        }
+    }
+
+    /// Closes flows without a datagram for as long as the service allows.
+    pub(crate) fn close_idle_flows(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let idle_ms = u64::from(self.rules().flow_idle_s) * 1_000;
+        for flow in self.flows.idle(idle_ms, now) {
+            let Some(owned) = self.flows.close(&flow) else { continue };
+            actions.push(agent::AgentAction::CloseFlow { flow });
+            for anchor in owned.anchors {
+                self.tell_owner(anchor, flow, message::OwnerNotice::Closed, actions);
+            }
+        }
+    }
+
+    /// Registers each owned flow with those that it will be looked up at.
+    ///
+    /// After joins and deaths a flow is looked up elsewhere than before. Without a fresh
+    /// registration an open flow whose balancers are replaced later would not be found, and would
+    /// start anew on another backend server. The owner compares on every change of the view, and
+    /// new agents are not asked before they have settled, so the registration is there first.
+    pub(crate) fn register_flows(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flows: Vec<_> = self.flows.all_owned().map(|(flow, _)| *flow).collect();
+        for flow in flows {
+            self.register_flow(&flow, now, actions);
+        }
+    }
+
+    fn register_flow(
+        &mut self,
+        flow: &placement::FlowKey,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let mut anchors = self.routes.anchors(flow, &self.view, now);
+        anchors.remove(&self.config.instance);
+        let Some(owned) = self.flows.owned_mut(flow) else { return };
+        let before = std::mem::replace(&mut owned.anchors, anchors.clone());
+        let notice = message::OwnerNotice::Owned(self.config.instance);
+        for anchor in anchors.difference(&before) {
+            self.tell_owner(*anchor, *flow, notice, actions);
+        }
+    }
+
+    fn deliver_owned(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        let Some(owned) = self.flows.owned_mut(&flow) else { return };
+        owned.touched = now;
+        owned.via = packet.via;
+        let notice = message::OwnerNotice::Owned(self.config.instance);
+        match &packet.step {
+            message::ForwardStep::FlowOwned => {}
+            message::ForwardStep::FlowLookup { anchor, .. } => {
+                self.tell_owner(*anchor, flow, notice, actions);
+                self.tell_owner(packet.via, flow, notice, actions);
+            }
+            _ => self.tell_owner(packet.via, flow, notice, actions),
+        }
+        actions.push(agent::AgentAction::FlowDatagram { flow, payload: packet.payload });
+    }
+
+    fn find_owner(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        let known = self.flows.known_owner(&flow).filter(|owner| self.is_reachable(*owner));
+        match known {
+            Some(owner) => self.pass_on(packet, owner, message::ForwardStep::FlowOwned, actions),
+            None if self.flows.is_pending(&flow) => {
+                if !self.flows.hold(&packet) {
+                    actions.push(agent::AgentAction::Drop(balancer::DropReason::LookupFull));
+                }
+            }
+            None => self.look_up(packet, now, actions),
+        }
+    }
+
+    fn look_up(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        let mut others = self.routes.settled(&flow, &self.view, now);
+        others.retain(|host| *host != self.config.instance);
+        others.truncate(routing::LOOKUP_DEPTH);
+        if others.is_empty() {
+            return self.place_flow(packet, now, actions);
+        }
+        self.flows.start_lookup(&packet, now);
+        let first = others.remove(0);
+        let anchor = self.config.instance;
+        let step = message::ForwardStep::FlowLookup { anchor, rest: others };
+        self.pass_on(packet, first, step, actions);
+    }
+
+    fn answer_lookup(
+        &mut self,
+        packet: message::ForwardPacket,
+        anchor: ids::InstanceId,
+        mut rest: Vec<ids::InstanceId>,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        let known = self.flows.known_owner(&flow).filter(|owner| self.is_reachable(*owner));
+        if let Some(owner) = known {
+            self.tell_owner(anchor, flow, message::OwnerNotice::Owned(owner), actions);
+            return self.pass_on(packet, owner, message::ForwardStep::FlowOwned, actions);
+        }
+        // Two anchors look for the same flow at once, each in a view of its own. Were both to go
+        // on, each would place the flow and one caller's datagrams would reach two backend
+        // servers. Both compare the same two ranks, so exactly one of them yields.
+        if self.flows.is_pending(&flow) && self.goes_before(anchor, &flow) {
+            self.tell_owner(anchor, flow, message::OwnerNotice::Yield, actions);
+            if !self.flows.hold(&packet) {
+                actions.push(agent::AgentAction::Drop(balancer::DropReason::LookupFull));
+            }
+            return;
+        }
+        match rest.is_empty() {
+            true => self.pass_on(packet, anchor, message::ForwardStep::FlowMissing, actions),
+            false => {
+                let next = rest.remove(0);
+                let step = message::ForwardStep::FlowLookup { anchor, rest };
+                self.pass_on(packet, next, step, actions);
+            }
+        }
+    }
+
+    /// Whether this agent's lookup of a flow goes before another's; the same in every view.
+    fn goes_before(&self, other: ids::InstanceId, flow: &placement::FlowKey) -> bool {
+        let rank = |host: ids::InstanceId| (ids::mix_words(host.0, flow.hash_word()), host);
+        rank(self.config.instance) > rank(other)
+    }
+
+    fn found_missing(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        match self.flows.end_lookup(&flow) {
+            Some(pending) => {
+                self.place_flow(packet, now, actions);
+                for held in pending.held {
+                    self.handle_flow(held, now, actions);
+                }
+            }
+            // The lookup has ended otherwise meanwhile.
+            None => self.find_owner(packet, now, actions),
+        }
+    }
+
+    /// Gives a new flow to the emptiest of the first candidates.
+    fn place_flow(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        match self.choose_owner(&flow, now) {
+            None => actions.push(agent::AgentAction::Drop(balancer::DropReason::FlowsFull)),
+            Some(owner) if owner == self.config.instance => {
+                self.open_flow(packet, now, actions);
+            }
+            Some(owner) => {
+                self.board.note_sent(owner, load::LoadKind::Flows, now);
+                self.flows.learn_owner(flow, owner);
+                self.pass_on(packet, owner, message::ForwardStep::FlowAdopt, actions);
+            }
+        }
+    }
+
+    /// Becomes a flow's owner, unless there is no room or the agent is on its way out.
+    ///
+    /// An anchor that has not yet heard of the drain still names this agent. Taking the flow would
+    /// be new work for a backend server that is leaving, so it is placed again from here.
+    fn adopt_flow(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        match self.takes_flows() {
+            true => self.open_flow(packet, now, actions),
+            false => self.place_flow(packet, now, actions),
+        }
+    }
+
+    fn open_flow(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let flow = packet.flow();
+        let owned = flow_table::OwnedFlow {
+            address: packet.address,
+            via: packet.via,
+            touched: now,
+            anchors: Default::default(),
+        };
+        self.flows.open(flow, owned);
+        self.register_flow(&flow, now, actions);
+        self.deliver_owned(packet, now, actions);
+    }
+
+    fn choose_owner(
+        &mut self,
+        flow: &placement::FlowKey,
+        now: ids::UnixMillis,
+    ) -> Option<ids::InstanceId> {
+        let spec = self.spec()?.clone();
+        let own_load = self.load();
+        self.board.hear(self.config.instance, own_load, now);
+        let candidates: Vec<_> = self
+            .routes
+            .settled(flow, &self.view, now)
+            .into_iter()
+            .filter(|host| self.has_flow_room(*host, spec.host_connections))
+            .take(routing::LOOKUP_DEPTH)
+            .filter_map(|host| self.view.get(host))
+            .map(|record| load::WorkCandidate {
+                host: record.instance,
+                started: record.started,
+                is_near: true,
+            })
+            .collect();
+        load::choose(&candidates, &self.board, load::LoadKind::Flows, &spec, now)
+    }
+
+    fn flush_lookup(
+        &mut self,
+        flow: placement::FlowKey,
+        target: ids::InstanceId,
+        step: message::ForwardStep,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(pending) = self.flows.end_lookup(&flow) else { return };
+        for packet in pending.held {
+            self.pass_on(packet, target, step.clone(), actions);
+        }
+    }
+
+    fn pass_on(
+        &mut self,
+        mut packet: message::ForwardPacket,
+        target: ids::InstanceId,
+        step: message::ForwardStep,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        packet.head = self.head();
+        packet.hops += 1;
+        packet.target = target;
+        packet.step = step;
+        self.send_to(target, message::PeerPacket::Forward(packet), actions);
+    }
+
+    fn tell_owner(
+        &mut self,
+        target: ids::InstanceId,
+        flow: placement::FlowKey,
+        notice: message::OwnerNotice,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let head = self.head();
+        self.send_to(target, message::PeerPacket::Owner { head, flow, notice }, actions);
+    }
+}
+
+impl agent::AgentEngine {
+    /// The address a flow that this agent owns was opened at.
+    pub fn flow_address(&self, flow: &placement::FlowKey) -> Option<net::SocketAddr> {
+        self.flows.owned(flow).map(|owned| owned.address)
+    }
+
+    /// Every flow that this agent owns.
+    pub fn owned_flows(&self) -> Vec<placement::FlowKey> {
+        self.flows.all_owned().map(|(flow, _)| *flow).collect()
+    }
+
+    fn takes_flows(&self) -> bool {
+        let room = self
+            .spec()
+            .is_some_and(|spec| self.flows.owned_count() < spec.host_connections as usize);
+        room && !self.draining
+    }
+
+    fn has_flow_room(&self, host: ids::InstanceId, connections: u32) -> bool {
+        if host == self.config.instance {
+            return self.takes_flows();
+        }
+        let has_room = self.board.report(host).is_none_or(|load| load.flows < connections);
+        has_room && self.view.get(host).is_some_and(|record| record.takes_new_work())
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/requests.rs
@@ -0,0 +1,774 @@
+//! Which requests run, wait, are repeated, refused or passed on.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use rand::Rng as _;
+use rand::RngExt as _;
+
+use crate::admission;
+use crate::agent;
+use crate::agent::handover;
+use crate::balancer;
+use crate::ids;
+use crate::ledger;
+use crate::message;
+use crate::ticket;
+use crate::uploads;
+
+/// Failures in a row after which an agent reports its backend server as failing.
+pub const FAILURES_IN_A_ROW: u32 = 5;
+
+/// How long after its last failure a failing backend server is tried again, in milliseconds.
+pub(crate) const TRIAL_AFTER_MS: u64 = 5_000;
+
+/// How many agents one idempotent request is tried at.
+const ATTEMPT_LIMIT: usize = 3;
+
+/// The size of a block where the caller names none, in bytes.
+const DEFAULT_BLOCK: u32 = 1_024;
+
+/// How long a large answer is kept for its caller to fetch, in milliseconds.
+const BODY_KEEP_MS: u64 = 60_000;
+
+/// How long a caller that stops fetching counts as still at it, in milliseconds.
+const BODY_STALL_MS: u64 = 10_000;
+
+/// How many bytes of large answers are kept.
+const BODY_BYTES_LIMIT: usize = 64 << 20;
+
+/// A fresh ticket is offered once a ticket has used up this share of its life.
+const REFRESH_SHARE: u64 = 4;
+
+/// Who is to get an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerTarget {
+    via: ids::InstanceId,
+    address: net::SocketAddr,
+    caller: net::SocketAddr,
+    exchange: message::ExchangeId,
+    wanted: Option<message::BodyBlock>,
+    ticket: Option<ticket::RequestTicket>,
+    path: String,
+}
+
+impl AnswerTarget {
+    fn new(
+        packet: &message::ForwardPacket,
+        request: &message::CallerRequest,
+        ticket: Option<ticket::RequestTicket>,
+    ) -> AnswerTarget {
+        AnswerTarget {
+            via: packet.via,
+            address: packet.address,
+            caller: packet.caller,
+            exchange: request.exchange.clone(),
+            wanted: request.wanted,
+            ticket,
+            path: request.path.clone(),
+        }
+    }
+
+    /// Names the conversation that a large answer is kept for.
+    fn body_key(&self, service: ids::ServiceId) -> BodyKey {
+        let flow = crate::placement::FlowKey { service, caller: self.caller };
+        let conversation = self.ticket.map_or_else(|| flow.hash_word(), |ticket| ticket.lineage);
+        BodyKey { conversation, path: self.path.clone() }
+    }
+}
+
+/// A request that runs or waits.
+#[derive(Clone, Debug)]
+pub(crate) struct ActiveRun {
+    request: message::CallerRequest,
+    packet: message::ForwardPacket,
+    recorded: Option<RecordedKey>,
+    targets: Vec<AnswerTarget>,
+    deadline: ids::UnixMillis,
+    started: Option<ids::UnixMillis>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RecordedKey {
+    key: ledger::RequestKey,
+    issued_s: u32,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct BodyKey {
+    conversation: u64,
+    path: String,
+}
+
+/// Large answers, kept for their callers to fetch block by block.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BodyStore {
+    bodies: collections::HashMap<BodyKey, KeptBody>,
+    bytes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct KeptBody {
+    answer: sync::Arc<message::WholeAnswer>,
+    touched: ids::UnixMillis,
+    is_fetched: bool,
+}
+
+impl BodyStore {
+    fn keep(
+        &mut self,
+        key: BodyKey,
+        answer: &sync::Arc<message::WholeAnswer>,
+        now: ids::UnixMillis,
+    ) {
+        if self.bytes + answer.body.len() > BODY_BYTES_LIMIT {
+            return;
+        }
+        self.bytes += answer.body.len();
+        let kept = KeptBody { answer: answer.clone(), touched: now, is_fetched: false };
+        if let Some(earlier) = self.bodies.insert(key, kept) {
+            self.bytes -= earlier.answer.body.len();
+        }
+    }
+
+    fn fetch(
+        &mut self,
+        key: &BodyKey,
+        block: message::BodyBlock,
+        now: ids::UnixMillis,
+    ) -> Option<sync::Arc<message::WholeAnswer>> {
+        let kept = self.bodies.get_mut(key)?;
+        kept.touched = now;
+        kept.is_fetched |= block.offset() + block.size as usize >= kept.answer.body.len();
+        Some(kept.answer.clone())
+    }
+
+    pub(crate) fn sweep(&mut self, now: ids::UnixMillis) {
+        self.bodies.retain(|_, kept| now.since(kept.touched) < BODY_KEEP_MS);
+        self.bytes = self.bodies.values().map(|kept| kept.answer.body.len()).sum();
+    }
+
+    /// How many callers are still fetching.
+    pub(crate) fn unfetched(&self, now: ids::UnixMillis) -> usize {
+        let at_it = |kept: &&KeptBody| !kept.is_fetched && now.since(kept.touched) < BODY_STALL_MS;
+        self.bodies.values().filter(at_it).count()
+    }
+}
+
+/// Whether a request is the one that an entry records, or a block of it.
+pub(crate) fn is_same_request(
+    entry: &ledger::LedgerEntry,
+    request: &message::CallerRequest,
+) -> bool {
+    match (request.upload, request.wanted) {
+        (_, Some(wanted)) if wanted.number > 0 => true,
+        (Some(block), _) if block.more => true,
+        (Some(block), _) if block.number > 0 => entry.last_block == Some(request.digest()),
+        _ => entry.digest == request.digest(),
+    }
+}
+
+impl agent::AgentEngine {
+    /// Handles a request's datagram.
+    pub(crate) fn handle_request(
+        &mut self,
+        packet: message::ForwardPacket,
+        request: Option<message::CallerRequest>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(request) = request else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::Foreign));
+        };
+        let opened = request.ticket.as_deref().map(|sealed| self.state.keys().open(sealed));
+        let ticket = opened
+            .and_then(Result::ok)
+            .filter(|ticket| ticket.service == self.config.service && ticket.expires() > now);
+        let arrival = RequestArrival { packet, request, ticket };
+        let is_idempotent = arrival.request.method.is_idempotent();
+        match (arrival.packet.behalf, ticket) {
+            (Some(home), Some(ticket)) if home == ticket.home && !is_idempotent => {
+                self.serve_for_other(arrival, ticket, now, actions);
+            }
+            _ if is_idempotent && arrival.request.upload.is_none() => {
+                self.serve_idempotent(arrival, now, actions);
+            }
+            (_, Some(ticket)) if ticket.home == self.config.instance => {
+                self.serve_at_home(arrival, ticket, now, actions);
+            }
+            // An upload whose home is gone starts anew; nothing of it has run.
+            _ if is_idempotent => {
+                self.refuse(&arrival.target(), message::RefusalKind::NeedTicket, actions);
+            }
+            _ => self.refuse(&arrival.target(), message::RefusalKind::OutcomeUnknown, actions),
+        }
+    }
+
+    /// Ends a run and starts the next that waits.
+    pub(crate) fn end_run(
+        &mut self,
+        run: admission::RunId,
+        outcome: agent::RunOutcome,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        // A run that was given up on has been answered and cancelled already.
+        let Some(active) = self.runs.remove(&run) else { return };
+        self.note_health(&outcome, now);
+        let ran_ms = active.started.map_or(0, |started| now.since(started));
+        match outcome {
+            agent::RunOutcome::Answered(answer) => {
+                self.budget.earn(self.rules().retry_percent);
+                self.answer_run(active, sync::Arc::new(answer), now, actions);
+            }
+            agent::RunOutcome::Shed { after_s } => {
+                let after_s = after_s.unwrap_or_else(|| self.return_after());
+                self.fail_run(active, message::RefusalKind::ComeBack { after_s }, now, actions);
+            }
+            agent::RunOutcome::NotReached => {
+                let after_s = self.return_after();
+                self.fail_run(active, message::RefusalKind::ComeBack { after_s }, now, actions);
+            }
+            agent::RunOutcome::Broken => {
+                self.fail_run(active, message::RefusalKind::OutcomeUnknown, now, actions);
+            }
+        }
+        self.release_slot(ran_ms, now, actions);
+    }
+
+    /// Gives up on runs whose callers stop waiting: they hear so at once.
+    pub(crate) fn time_out_runs(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let is_late = |active: &&ActiveRun| active.started.is_some() && active.deadline <= now;
+        let late: Vec<_> =
+            self.runs.iter().filter(|(_, a)| is_late(a)).map(|(run, _)| *run).collect();
+        for run in late {
+            actions.push(agent::AgentAction::CancelRun { run });
+            self.end_run(run, agent::RunOutcome::Broken, now, actions);
+        }
+    }
+
+    /// Refuses what waits past its deadline.
+    pub(crate) fn refuse_late(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let late = self.gate.drop_late(now);
+        self.refuse_unstarted(late, now, actions);
+        let is_over = self.last_failure.is_some_and(|last| now.since(last) >= TRIAL_AFTER_MS);
+        if is_over && self.failures >= FAILURES_IN_A_ROW {
+            self.failures = FAILURES_IN_A_ROW - 1;
+        }
+    }
+
+    /// Refuses all that waits, after this process was paused.
+    ///
+    /// Peers may have declared it dead meanwhile and told its callers that the outcome is unknown.
+    /// What had not started then must not start now: it would be work that nobody waits for, on a
+    /// backend server that others may have stopped watching.
+    pub(crate) fn refuse_waiting(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let waiting = self.gate.clear_waiting();
+        self.refuse_unstarted(waiting, now, actions);
+    }
+
+    fn refuse_unstarted(
+        &mut self,
+        runs: Vec<admission::RunId>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        for run in runs {
+            let Some(active) = self.runs.remove(&run) else { continue };
+            let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+            self.refuse_run(&active, kind, now, actions);
+        }
+    }
+
+    /// Answers for a run that has left, from the record that it handed over.
+    fn serve_for_other(
+        &mut self,
+        arrival: RequestArrival,
+        ticket: ticket::RequestTicket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let key = arrival.key(&ticket);
+        let target = arrival.target();
+        match self.adopted_state(ticket.home, key, &arrival.request) {
+            Some(handover::AdoptedState::Done(answer)) => {
+                self.answer(&target, &answer, now, actions);
+            }
+            Some(handover::AdoptedState::NotRun) => {
+                self.refuse(&target, message::RefusalKind::NeedTicket, actions);
+            }
+            Some(handover::AdoptedState::Reused) => {
+                self.refuse(&target, message::RefusalKind::TagReused, actions);
+            }
+            Some(handover::AdoptedState::Unknown) | None => {
+                self.refuse(&target, message::RefusalKind::OutcomeUnknown, actions);
+            }
+        }
+    }
+
+    fn serve_idempotent(
+        &mut self,
+        arrival: RequestArrival,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let target = arrival.target();
+        if let Some(answer) = self.fetch_body(&target, now) {
+            return self.answer(&target, &answer, now, actions);
+        }
+        if self.draining && self.pass_request(&arrival.packet, false, now, actions) {
+            return;
+        }
+        self.admit(arrival, None, now, actions);
+    }
+
+    /// Serves a request under a ticket that names this run.
+    fn serve_at_home(
+        &mut self,
+        arrival: RequestArrival,
+        ticket: ticket::RequestTicket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let key = arrival.key(&ticket);
+        if let Some(entry) = self.ledger.get(key) {
+            let entry = entry.clone();
+            return self.repeat(arrival, key, &entry, now, actions);
+        }
+        let target = arrival.target();
+        if let Some(answer) = self.fetch_body(&target, now) {
+            return self.answer(&target, &answer, now, actions);
+        }
+        let is_begun = self.uploads.contains(key);
+        match () {
+            _ if self.ledger.is_below_floor(ticket.issued_s) => {
+                let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+                self.refuse(&target, kind, actions);
+            }
+            _ if self.draining && !is_begun => {
+                let digest = arrival.request.digest();
+                self.ledger.refuse(key, digest, ticket.issued_s, now);
+                self.refuse(&target, message::RefusalKind::NeedTicket, actions);
+            }
+            _ if arrival.request.upload.is_some() => {
+                self.take_block(arrival, key, ticket, now, actions);
+            }
+            _ => self.run_once(arrival, key, ticket, None, now, actions),
+        }
+    }
+
+    /// Repeats what a request got before.
+    fn repeat(
+        &mut self,
+        arrival: RequestArrival,
+        key: ledger::RequestKey,
+        entry: &ledger::LedgerEntry,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let target = arrival.target();
+        // Were this not compared, a caller that uses an id twice would get the answer to another
+        // request and take its own for done.
+        if !is_same_request(entry, &arrival.request) {
+            return self.refuse(&target, message::RefusalKind::TagReused, actions);
+        }
+        if let Some(block) = arrival.request.upload.filter(|block| block.more) {
+            return self.answer_block_taken(&target, block, actions);
+        }
+        match &entry.state {
+            ledger::RequestState::Done(answer) => self.answer(&target, answer, now, actions),
+            ledger::RequestState::Refused => {
+                let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+                self.refuse(&target, kind, actions);
+            }
+            ledger::RequestState::Unknown => {
+                self.refuse(&target, message::RefusalKind::OutcomeUnknown, actions);
+            }
+            ledger::RequestState::Running => self.join_run(key, target),
+        }
+    }
+
+    /// Has a repeated request answered together with the one that is running.
+    fn join_run(&mut self, key: ledger::RequestKey, target: AnswerTarget) {
+        let same =
+            |active: &&mut ActiveRun| active.recorded.is_some_and(|recorded| recorded.key == key);
+        let Some(active) = self.runs.values_mut().find(same) else { return };
+        // The datagram of the last repetition is the one that a caller still listens for.
+        active
+            .targets
+            .retain(|held| (held.caller, &held.exchange) != (target.caller, &target.exchange));
+        active.targets.push(target);
+        if active.targets.len() > TARGET_LIMIT {
+            active.targets.remove(0);
+        }
+    }
+
+    fn take_block(
+        &mut self,
+        mut arrival: RequestArrival,
+        key: ledger::RequestKey,
+        ticket: ticket::RequestTicket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(block) = arrival.request.upload else { return };
+        let limit = self.rules().body_limit;
+        let last_block = arrival.request.digest();
+        let payload = &arrival.request.payload;
+        let outcome = self.uploads.accept(key, block, payload, limit as usize, now);
+        let target = arrival.target();
+        match outcome {
+            uploads::UploadOutcome::Partial => self.answer_block_taken(&target, block, actions),
+            uploads::UploadOutcome::Whole(body) => {
+                arrival.request.payload = body;
+                let last_block = (block.number > 0).then_some(last_block);
+                match arrival.request.method.is_idempotent() {
+                    true => self.admit(arrival, None, now, actions),
+                    false => self.run_once(arrival, key, ticket, last_block, now, actions),
+                }
+            }
+            uploads::UploadOutcome::Incomplete => {
+                self.refuse(&target, message::RefusalKind::UploadIncomplete, actions);
+            }
+            uploads::UploadOutcome::TooLarge => {
+                self.refuse(&target, message::RefusalKind::TooLarge { limit }, actions);
+            }
+            uploads::UploadOutcome::Full => {
+                let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+                self.refuse(&target, kind, actions);
+            }
+        }
+    }
+
+    fn run_once(
+        &mut self,
+        arrival: RequestArrival,
+        key: ledger::RequestKey,
+        ticket: ticket::RequestTicket,
+        last_block: Option<u128>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let digest = arrival.request.digest();
+        let state = ledger::RequestState::Running;
+        let entry = ledger::LedgerEntry { digest, last_block, state };
+        if !self.ledger.begin(key, entry, ticket.issued_s, now) {
+            self.ledger.refuse(key, digest, ticket.issued_s, now);
+            let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+            return self.refuse(&arrival.target(), kind, actions);
+        }
+        let recorded = RecordedKey { key, issued_s: ticket.issued_s };
+        self.admit(arrival, Some(recorded), now, actions);
+    }
+
+    fn admit(
+        &mut self,
+        arrival: RequestArrival,
+        recorded: Option<RecordedKey>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let target = arrival.target();
+        let deadline = arrival.packet.expires;
+        let run = admission::RunId(self.next_run);
+        self.next_run += 1;
+        let spread = self.rng.next_u64();
+        let mut active = ActiveRun {
+            request: arrival.request,
+            packet: arrival.packet,
+            recorded,
+            targets: vec![target],
+            deadline,
+            started: None,
+        };
+        match self.gate.offer(run, deadline, spread, now) {
+            admission::AdmissionVerdict::Start => {
+                active.started = Some(now);
+                let request = active.request.clone();
+                self.runs.insert(run, active);
+                actions.push(agent::AgentAction::StartRun { run, request, deadline });
+            }
+            admission::AdmissionVerdict::Wait => drop(self.runs.insert(run, active)),
+            admission::AdmissionVerdict::Refuse { after_s } => {
+                let kind = message::RefusalKind::ComeBack { after_s };
+                self.fail_run(active, kind, now, actions);
+            }
+        }
+    }
+
+    fn release_slot(
+        &mut self,
+        ran_ms: u64,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let release = self.gate.finish(ran_ms, now);
+        self.refuse_unstarted(release.late, now, actions);
+        let Some(run) = release.start else { return };
+        let Some(active) = self.runs.get_mut(&run) else { return };
+        active.started = Some(now);
+        let (request, deadline) = (active.request.clone(), active.deadline);
+        actions.push(agent::AgentAction::StartRun { run, request, deadline });
+    }
+
+    fn answer_run(
+        &mut self,
+        active: ActiveRun,
+        answer: sync::Arc<message::WholeAnswer>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        if let Some(recorded) = active.recorded {
+            self.ledger.settle(recorded.key, ledger::RequestState::Done(answer.clone()));
+        }
+        for target in &active.targets {
+            self.answer(target, &answer, now, actions);
+        }
+    }
+
+    /// Ends a run without an answer: elsewhere if that is allowed, else with a refusal.
+    fn fail_run(
+        &mut self,
+        active: ActiveRun,
+        kind: message::RefusalKind,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let may_repeat = active.recorded.is_none() && active.request.upload.is_none();
+        if may_repeat && self.pass_request(&active.packet, true, now, actions) {
+            return;
+        }
+        self.refuse_run(&active, kind, now, actions);
+    }
+
+    fn refuse_run(
+        &mut self,
+        active: &ActiveRun,
+        kind: message::RefusalKind,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        match active.recorded {
+            Some(recorded) if kind == message::RefusalKind::OutcomeUnknown => {
+                self.ledger.settle(recorded.key, ledger::RequestState::Unknown);
+            }
+            Some(recorded) => {
+                let digest = active.request.digest();
+                self.ledger.refuse(recorded.key, digest, recorded.issued_s, now);
+            }
+            None => {}
+        }
+        for target in &active.targets {
+            self.refuse(target, kind, actions);
+        }
+    }
+
+    /// Passes an idempotent request on to another agent; false if it must not be.
+    fn pass_request(
+        &mut self,
+        packet: &message::ForwardPacket,
+        from_budget: bool,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) -> bool {
+        let message::ForwardStep::Request { tried } = &packet.step else { return false };
+        let mut tried = tried.clone();
+        tried.push(self.config.instance);
+        if tried.len() >= ATTEMPT_LIMIT || packet.expires <= now {
+            return false;
+        }
+        let Some(spec) = self.state.service(self.config.service) else { return false };
+        let rng = &mut self.rng;
+        let draw = |len| rng.random_range(0..len);
+        let chosen = self.routes.choose_worker(spec, &self.board, &tried, now, draw);
+        let Some(other) = chosen else { return false };
+        if from_budget && !self.budget.spend() {
+            return false;
+        }
+        let mut packet = packet.clone();
+        packet.head = self.head();
+        packet.target = other;
+        packet.behalf = None;
+        packet.hops += 1;
+        packet.step = message::ForwardStep::Request { tried };
+        self.send_to(other, message::PeerPacket::Forward(packet), actions);
+        true
+    }
+
+    fn fetch_body(
+        &mut self,
+        target: &AnswerTarget,
+        now: ids::UnixMillis,
+    ) -> Option<sync::Arc<message::WholeAnswer>> {
+        let block = target.wanted.filter(|block| block.number > 0)?;
+        self.bodies.fetch(&target.body_key(self.config.service), block, now)
+    }
+
+    fn answer(
+        &mut self,
+        target: &AnswerTarget,
+        whole: &sync::Arc<message::WholeAnswer>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let mut target = target.clone();
+        let ticket = self.ticket_for_answer(&mut target, now);
+        let wanted = target.wanted.unwrap_or(message::BodyBlock {
+            number: 0,
+            more: false,
+            size: DEFAULT_BLOCK,
+        });
+        let start = wanted.offset().min(whole.body.len());
+        let end = (start + wanted.size as usize).min(whole.body.len());
+        let in_blocks = whole.body.len() > wanted.size as usize;
+        if in_blocks && wanted.number == 0 {
+            self.bodies.keep(target.body_key(self.config.service), whole, now);
+        }
+        let block = message::BodyBlock { more: end < whole.body.len(), ..wanted };
+        let answer = message::AgentAnswer::Body {
+            status: whole.status,
+            payload: whole.body[start..end].to_vec(),
+            block: in_blocks.then_some(block),
+            body_tag: whole.body_tag(),
+        };
+        self.push_answer(&target, answer, ticket, actions);
+    }
+
+    fn answer_block_taken(
+        &mut self,
+        target: &AnswerTarget,
+        block: message::BodyBlock,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let answer = message::AgentAnswer::Continue { block };
+        self.push_answer(target, answer, None, actions);
+    }
+
+    fn push_answer(
+        &mut self,
+        target: &AnswerTarget,
+        answer: message::AgentAnswer,
+        ticket: Option<Vec<u8>>,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(to) = self.answer_address(target.via) else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
+        };
+        let reply = message::ReplyPacket {
+            head: self.head(),
+            service: self.config.service,
+            address: target.address,
+            caller: target.caller,
+            payload: Vec::new(),
+        };
+        let exchange = target.exchange.clone();
+        actions.push(agent::AgentAction::Answer { to, reply, exchange, answer, ticket });
+    }
+
+    fn refuse(
+        &mut self,
+        target: &AnswerTarget,
+        kind: message::RefusalKind,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(to) = self.answer_address(target.via) else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
+        };
+        let refuse = message::RefusePacket {
+            head: self.head(),
+            service: self.config.service,
+            address: target.address,
+            caller: target.caller,
+            exchange: target.exchange.clone(),
+            kind,
+        };
+        actions.push(agent::AgentAction::Send { to, packet: message::PeerPacket::Refuse(refuse) });
+    }
+
+    /// The ticket that an answer carries for the caller's next request, if any.
+    ///
+    /// A ticket that names this run is renewed within its lineage, so that a caller that repeats a
+    /// request under the newer ticket still meets the record of the first. Only the home itself
+    /// may renew: it alone knows how long it then has to remember.
+    fn ticket_for_answer(
+        &mut self,
+        target: &mut AnswerTarget,
+        now: ids::UnixMillis,
+    ) -> Option<Vec<u8>> {
+        let is_busy = self.gate.waiting() >= self.gate.slots();
+        if self.draining || is_busy || self.failures >= FAILURES_IN_A_ROW {
+            return None;
+        }
+        let issued_s = now.as_secs() as u32;
+        let fresh = match target.ticket {
+            None => ticket::RequestTicket {
+                home: self.config.instance,
+                service: self.config.service,
+                issued_s,
+                lineage: self.rng.next_u64(),
+            },
+            Some(held) if held.home != self.config.instance => return None,
+            Some(held) => {
+                let left_ms = held.expires().since(now);
+                let is_young = left_ms
+                    > ticket::TICKET_LIFETIME_MS - ticket::TICKET_LIFETIME_MS / REFRESH_SHARE;
+                if is_young || !self.ledger.may_extend(held.lineage, now) {
+                    return None;
+                }
+                self.ledger.extend_lineage(held.lineage, issued_s, now);
+                ticket::RequestTicket { issued_s, ..held }
+            }
+        };
+        let sealed = self.state.keys().seal(&fresh, now)?;
+        target.ticket = Some(fresh);
+        Some(sealed)
+    }
+
+    fn note_health(&mut self, outcome: &agent::RunOutcome, now: ids::UnixMillis) {
+        match outcome {
+            agent::RunOutcome::Answered(_) => self.failures = 0,
+            agent::RunOutcome::Shed { .. } => {}
+            agent::RunOutcome::NotReached | agent::RunOutcome::Broken => {
+                self.failures += 1;
+                self.last_failure = Some(now);
+            }
+        }
+    }
+
+    fn return_after(&mut self) -> u32 {
+        let spread = self.rng.next_u64();
+        self.gate.return_after_s(spread)
+    }
+}
+
+/// How many repetitions of a running request are answered with it.
+const TARGET_LIMIT: usize = 8;
+
+struct RequestArrival {
+    packet: message::ForwardPacket,
+    request: message::CallerRequest,
+    ticket: Option<ticket::RequestTicket>,
+}
+
+impl RequestArrival {
+    fn target(&self) -> AnswerTarget {
+        AnswerTarget::new(&self.packet, &self.request, self.ticket)
+    }
+
+    fn key(&self, ticket: &ticket::RequestTicket) -> ledger::RequestKey {
+        ledger::RequestKey { lineage: ticket.lineage, tag: self.request.tag }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/view.rs
@@ -0,0 +1,156 @@
+//! All processes that one process knows of.
+
+use std::collections;
+use std::sync;
+
+use crate::ids;
+use crate::membership::record;
+
+/// A member and when this process first heard of it.
+#[derive(Clone, Debug)]
+pub struct ViewedMember {
+    /// What is known of it.
+    pub record: record::MemberRecord,
+    /// When this process first heard of it.
+    pub first_seen: ids::UnixMillis,
+    /// When what is known last changed.
+    pub changed: ids::UnixMillis,
+}
+
+/// All processes that one process knows of, cheap to copy.
+///
+/// Records are shared, so that a copy for another thread costs one pointer a member.
+#[derive(Clone, Debug, Default)]
+pub struct MemberView {
+    members: collections::BTreeMap<ids::InstanceId, sync::Arc<ViewedMember>>,
+    runs: collections::HashMap<String, ids::InstanceId>,
+    digest: u64,
+}
+
+impl MemberView {
+    /// Merges a record; says whether the view changed.
+    ///
+    /// A later run of the same name marks the earlier one dead: one name is one process, and its
+    /// memory went with the earlier run.
+    pub fn merge(&mut self, record: &record::MemberRecord, now: ids::UnixMillis) -> bool {
+        let mut record = record.clone();
+        if self.is_superseded(&record) {
+            record.liveness = dead_for_good();
+        }
+        let changed = self.merge_record(&record, now);
+        if changed {
+            self.supersede(&record, now);
+        }
+        changed
+    }
+
+    /// Forgets members that have been dead or gone for `keep_ms`.
+    ///
+    /// They are kept that long because tickets name them: "dead" or "its successor is" can be
+    /// said only of a run that is still known.
+    pub fn forget(&mut self, now: ids::UnixMillis, keep_ms: u64) {
+        let forgotten: Vec<_> = self
+            .members
+            .values()
+            .filter(|member| !member.record.is_reachable() && now.since(member.changed) > keep_ms)
+            .map(|member| member.record.instance)
+            .collect();
+        for instance in forgotten {
+            let Some(member) = self.members.remove(&instance) else { continue };
+            self.digest ^= member.record.digest_word();
+            if self.runs.get(&member.record.name) == Some(&instance) {
+                self.runs.remove(&member.record.name);
+            }
+        }
+    }
+
+    fn is_superseded(&self, record: &record::MemberRecord) -> bool {
+        let current = self.runs.get(&record.name).and_then(|run| self.members.get(run));
+        match current {
+            Some(current) if current.record.instance == record.instance => false,
+            Some(current) => run_order(&current.record) > run_order(record),
+            None => false,
+        }
+    }
+
+    fn merge_record(&mut self, record: &record::MemberRecord, now: ids::UnixMillis) -> bool {
+        let Some(held) = self.members.get_mut(&record.instance) else {
+            let member = ViewedMember { record: record.clone(), first_seen: now, changed: now };
+            self.digest ^= record.digest_word();
+            self.members.insert(record.instance, sync::Arc::new(member));
+            return true;
+        };
+        let mut merged = held.record.clone();
+        if !merged.merge(record) {
+            return false;
+        }
+        self.digest ^= held.record.digest_word() ^ merged.digest_word();
+        let member = ViewedMember { record: merged, first_seen: held.first_seen, changed: now };
+        *held = sync::Arc::new(member);
+        true
+    }
+
+    fn supersede(&mut self, record: &record::MemberRecord, now: ids::UnixMillis) {
+        let earlier = match self.runs.get(&record.name) {
+            Some(run) if *run == record.instance => return,
+            Some(run) => self.members.get(run).map(|member| member.record.clone()),
+            None => None,
+        };
+        match earlier {
+            Some(earlier) if run_order(&earlier) > run_order(record) => {}
+            Some(mut earlier) => {
+                self.runs.insert(record.name.clone(), record.instance);
+                earlier.liveness = dead_for_good();
+                self.merge_record(&earlier, now);
+            }
+            None => {
+                self.runs.insert(record.name.clone(), record.instance);
+            }
+        }
+    }
+}
+
+impl MemberView {
+    /// A member by its run.
+    pub fn get(&self, instance: ids::InstanceId) -> Option<&record::MemberRecord> {
+        self.members.get(&instance).map(|member| &member.record)
+    }
+
+    /// A member with the times this process keeps for it.
+    pub fn viewed(&self, instance: ids::InstanceId) -> Option<&ViewedMember> {
+        self.members.get(&instance).map(|member| &**member)
+    }
+
+    /// Every member, dead ones too, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = &ViewedMember> {
+        self.members.values().map(|member| &**member)
+    }
+
+    /// Every member that may be sent to.
+    pub fn reachable(&self) -> impl Iterator<Item = &record::MemberRecord> {
+        self.iter().map(|member| &member.record).filter(|record| record.is_reachable())
+    }
+
+    /// How many members are known, dead ones too.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// A word that is equal where two views are.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+}
+
+fn run_order(record: &record::MemberRecord) -> (ids::UnixMillis, ids::InstanceId) {
+    (record.started, record.instance)
+}
+
+fn dead_for_good() -> record::MemberLiveness {
+    record::MemberLiveness { version: u32::MAX, state: record::LivenessState::Dead }
+}
--- /dev/null
+++ b/crates/wire/src/coap.rs
@@ -0,0 +1,178 @@
+//! Callers' requests and their answers as CoAP (RFC 7252).
+//!
+//! | what | how |
+//! |---|---|
+//! | ticket | Echo option (RFC 9175) |
+//! | request id | Request-Tag option (RFC 9175), else token and message id |
+//! | bodies over a block | Block1 and Block2 (RFC 7959), ETag on each block of an answer |
+//! | not run, needs a ticket | 4.01 with Echo |
+//! | not run, come back then | 5.03 with Max-Age |
+//! | may have run | 5.04 with Max-Age |
+
+use coap_lite::option_value;
+use rosemaryusher_core::balancer;
+use rosemaryusher_core::message;
+use xxhash_rust::xxh3;
+
+pub use crate::coap_answer::encode_answer;
+pub use crate::coap_answer::encode_refusal;
+pub use crate::coap_draft::AnswerDatagram;
+pub use crate::coap_draft::RequestDraft;
+
+/// The number of the Echo option.
+pub const ECHO_OPTION: coap_lite::CoapOption = coap_lite::CoapOption::Unknown(252);
+
+/// The number of the Request-Tag option.
+pub const REQUEST_TAG_OPTION: coap_lite::CoapOption = coap_lite::CoapOption::Unknown(292);
+
+/// A request as it came from a caller.
+#[derive(Clone, Debug)]
+pub struct RequestDatagram {
+    packet: coap_lite::Packet,
+    method: message::RequestMethod,
+}
+
+impl RequestDatagram {
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// [`balancer::MalformedRequest::Answerable`] if it is CoAP but no request;
+    /// [`balancer::MalformedRequest::Foreign`] if it is not even that, or an answer, which must
+    /// not be answered in turn.
+    pub fn parse(datagram: &[u8]) -> Result<RequestDatagram, balancer::MalformedRequest> {
+        let packet = coap_lite::Packet::from_bytes(datagram)
+            .map_err(|_| balancer::MalformedRequest::Foreign)?;
+        let method = match packet.header.code {
+            coap_lite::MessageClass::Request(method) => request_method(method),
+            coap_lite::MessageClass::Reserved(_) => None,
+            coap_lite::MessageClass::Empty | coap_lite::MessageClass::Response(_) => {
+                return Err(balancer::MalformedRequest::Foreign);
+            }
+        };
+        let is_foreign = packet.header.get_version() != 1
+            || matches!(
+                packet.header.get_type(),
+                coap_lite::MessageType::Acknowledgement | coap_lite::MessageType::Reset
+            );
+        match method {
+            _ if is_foreign => Err(balancer::MalformedRequest::Foreign),
+            None => Err(balancer::MalformedRequest::Answerable),
+            Some(method) => Ok(RequestDatagram { packet, method }),
+        }
+    }
+
+    /// What a balancer routes by.
+    pub fn head(&self) -> message::RequestHead<'_> {
+        let upload = self.block(coap_lite::CoapOption::Block1);
+        let wanted = self.block(coap_lite::CoapOption::Block2);
+        message::RequestHead {
+            method: self.method,
+            ticket: self.packet.get_first_option(ECHO_OPTION).map(Vec::as_slice),
+            in_blocks: upload.is_some() || wanted.is_some_and(|block| block.number > 0),
+        }
+    }
+
+    /// What the answer repeats.
+    pub fn exchange(&self) -> message::ExchangeId {
+        exchange_of(&self.packet)
+    }
+
+    /// The whole request, as the agent handles it.
+    pub fn into_request(self) -> message::CallerRequest {
+        let upload = self.block(coap_lite::CoapOption::Block1);
+        let wanted = self.block(coap_lite::CoapOption::Block2);
+        message::CallerRequest {
+            method: self.method,
+            path: self.path(),
+            tag: self.tag(),
+            exchange: self.exchange(),
+            ticket: self.packet.get_first_option(ECHO_OPTION).cloned(),
+            upload,
+            wanted,
+            payload: self.packet.payload,
+        }
+    }
+
+    /// The caller's id for the request.
+    ///
+    /// Without a Request-Tag, token and message id stand in: a caller's own retransmission repeats
+    /// both, and a new request repeats neither.
+    fn tag(&self) -> u64 {
+        match self.packet.get_first_option(REQUEST_TAG_OPTION) {
+            Some(tag) => xxh3::xxh3_64_with_seed(tag, 1),
+            None => {
+                let seed = u64::from(self.packet.header.message_id) << 16;
+                xxh3::xxh3_64_with_seed(self.packet.get_token(), seed)
+            }
+        }
+    }
+
+    fn path(&self) -> String {
+        let text = |option| {
+            let values = self.packet.get_option(option);
+            values.into_iter().flatten().map(|part| String::from_utf8_lossy(part).into_owned())
+        };
+        let path: Vec<_> = text(coap_lite::CoapOption::UriPath).collect();
+        let query: Vec<_> = text(coap_lite::CoapOption::UriQuery).collect();
+        match query.is_empty() {
+            true => format!("/{}", path.join("/")),
+            false => format!("/{}?{}", path.join("/"), query.join("&")),
+        }
+    }
+
+    fn block(&self, option: coap_lite::CoapOption) -> Option<message::BodyBlock> {
+        read_block(&self.packet, option)
+    }
+}
+
+/// What an answer repeats of a datagram that is CoAP but no request.
+pub fn exchange_of_malformed(datagram: &[u8]) -> Option<message::ExchangeId> {
+    coap_lite::Packet::from_bytes(datagram).ok().map(|packet| exchange_of(&packet))
+}
+
+pub(crate) fn exchange_of(packet: &coap_lite::Packet) -> message::ExchangeId {
+    message::ExchangeId {
+        message_id: packet.header.message_id,
+        token: packet.get_token().to_vec(),
+        confirmable: packet.header.get_type() == coap_lite::MessageType::Confirmable,
+    }
+}
+
+pub(crate) fn read_block(
+    packet: &coap_lite::Packet,
+    option: coap_lite::CoapOption,
+) -> Option<message::BodyBlock> {
+    let value = packet.get_first_option_as::<option_value::OptionValueU32>(option)?.ok()?.0;
+    let exponent = value & 0x7;
+    let block = message::BodyBlock {
+        number: value >> 4,
+        more: value & 0x8 != 0,
+        size: 16 << exponent.min(6),
+    };
+    // An exponent of seven is reserved (RFC 7959, section 2.2).
+    (exponent < 7).then_some(block)
+}
+
+pub(crate) fn write_block(
+    packet: &mut coap_lite::Packet,
+    option: coap_lite::CoapOption,
+    block: &message::BodyBlock,
+) {
+    let exponent = block.size.trailing_zeros().saturating_sub(4);
+    let value = block.number << 4 | u32::from(block.more) << 3 | exponent;
+    packet.add_option_as(option, option_value::OptionValueU32(value));
+}
+
+fn request_method(method: coap_lite::RequestType) -> Option<message::RequestMethod> {
+    match method {
+        coap_lite::RequestType::Get => Some(message::RequestMethod::Get),
+        coap_lite::RequestType::Post => Some(message::RequestMethod::Post),
+        coap_lite::RequestType::Put => Some(message::RequestMethod::Put),
+        coap_lite::RequestType::Delete => Some(message::RequestMethod::Delete),
+        coap_lite::RequestType::Fetch => Some(message::RequestMethod::Fetch),
+        coap_lite::RequestType::Patch => Some(message::RequestMethod::Patch),
+        coap_lite::RequestType::IPatch => Some(message::RequestMethod::IPatch),
+        coap_lite::RequestType::UnKnown => None,
+    }
+}
