Add the two daemons, the control thread and the operators' commands

Cause: the decisions need processes around them. Change: settings, JSON-line logs, metrics, HTTP by hyper over smol, the platform's object API behind a trait, exchanges between processes, one thread for each duty joined by bounded rings; check, apply, status, dump, rotate-key. Conclusion: builds; not yet run end to end.

--- /dev/null
+++ b/crates/agent/src/daemon.rs
@@ -0,0 +1,223 @@
+//! The agent's threads, and how it shuts down.
+
+use std::net;
+use std::thread;
+use std::time;
+
+use eyre::WrapErr as _;
+use rand::Rng as _;
+use rosemaryusher_core::agent;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::ledger;
+use rosemaryusher_core::membership;
+use rosemaryusher_node::clock;
+use rosemaryusher_node::control;
+use rosemaryusher_node::logs;
+use rosemaryusher_node::meters;
+use rosemaryusher_node::rings;
+use rosemaryusher_node::shutdown;
+use rosemaryusher_node::threads;
+use smol::channel;
+
+use crate::backend;
+use crate::decide;
+use crate::packets;
+use crate::settings;
+
+/// How often the decisions are told that time has passed.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// How many requests one part of a handed over record holds.
+const HANDOVER_ENTRIES: usize = 500;
+
+/// Runs the agent until it is told to shut down and has.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened at or a thread cannot be started.
+pub(crate) fn run(settings: settings::AgentSettings) -> eyre::Result<()> {
+    logs::start(&settings.node.logs, &settings.node.name)?;
+    threads::stop_on_panic();
+    let metrics = meters::start()?;
+    let clock = clock::ProcessClock::start();
+    let instance = ids::InstanceId(rand::rng().next_u64() | 1);
+    let service = ids::ServiceId::of_name(&settings.service);
+    let socket = smol::block_on(smol::net::UdpSocket::bind(settings.node.packet_address))
+        .wrap_err_with(|| format!("cannot listen at {}", settings.node.packet_address))?;
+    let packet_address = socket.local_addr()?;
+    let engine = agent::AgentEngine::new(agent::AgentConfig {
+        instance,
+        service,
+        data_centre: settings.node.data_centre.clone(),
+        ledger: ledger::LedgerLimits {
+            entries: settings.record.entries,
+            answer_bytes: settings.record.answer_bytes,
+        },
+        seed: rand::rng().next_u64(),
+    });
+    let own = own_record(&settings, instance, service, packet_address, &clock);
+
+    let (inputs, input_ends) = rings::ring();
+    let (packet_outputs, packet_ends) = rings::ring();
+    let (backend_outputs, backend_ends) = rings::ring();
+    let (control_outputs, control_ends) = rings::ring();
+    let (commands, command_ends) = channel::bounded(16);
+    let (started, started_end) = channel::bounded(1);
+
+    let parts = control::ControlParts {
+        own,
+        settings: settings.node.clone(),
+        clock,
+        metrics,
+        outputs: control_outputs,
+        commands: command_ends,
+        seed: rand::rng().next_u64(),
+    };
+    threads::spawn("control", move || threads::report(control::run(parts, started)))?;
+    let control_inputs = inputs.clone();
+    threads::spawn("relay", move || relay(&control_ends, &control_inputs))?;
+    let backend_inputs = inputs.clone();
+    let backend_settings = settings.backend.clone();
+    threads::spawn("backend", move || {
+        backend::run(backend_settings, clock, backend_inputs, backend_ends);
+    })?;
+    let (reader, writer) = (socket.clone(), socket);
+    let packet_inputs = inputs.clone();
+    threads::spawn("read", move || smol::block_on(packets::read(reader, packet_inputs)))?;
+    threads::spawn("write", move || smol::block_on(packets::write(writer, packet_ends)))?;
+    let tick_inputs = inputs.clone();
+    threads::spawn("tick", move || tick(&tick_inputs))?;
+    let outputs = decide::AgentOutputs { packets: packet_outputs, backend: backend_outputs };
+    threads::spawn("decide", move || decide::run(engine, clock, input_ends, outputs))?;
+
+    let control_address = started_end.recv_blocking().wrap_err("the control thread ended")?;
+    log::info!("listening control={control_address} packets={packet_address} instance={instance}");
+    smol::block_on(async {
+        shutdown::requested().await?;
+        drain(&settings, &inputs, &commands).await
+    })
+}
+
+/// Finishes what is in progress, hands over the record, and leaves.
+async fn drain(
+    settings: &settings::AgentSettings,
+    inputs: &channel::Sender<decide::AgentInput>,
+    commands: &channel::Sender<control::ControlCommand>,
+) -> eyre::Result<()> {
+    log::info!("draining");
+    inputs.send(decide::AgentInput::Event(agent::AgentEvent::Drain)).await?;
+    set_phase(commands, membership::MemberPhase::Draining).await?;
+    let limit = settings.drain.limit_s.map(time::Duration::from_secs);
+    let began = time::Instant::now();
+    let mut told = None;
+    loop {
+        let (reply, export) = channel::bounded(1);
+        inputs.send(decide::AgentInput::ExportIfIdle(reply)).await?;
+        match export.recv().await? {
+            decide::AgentExport::Ready { records, successors } => {
+                let successor = hand_over(commands, records, successors).await?;
+                set_phase(commands, membership::MemberPhase::Left { successor }).await?;
+                break;
+            }
+            decide::AgentExport::Busy(backlog) if limit.is_some_and(|l| began.elapsed() > l) => {
+                log::warn!("the drain's limit has passed; cut off: {backlog:?}");
+                set_phase(commands, membership::MemberPhase::Left { successor: None }).await?;
+                break;
+            }
+            decide::AgentExport::Busy(backlog) if told != Some(backlog) => {
+                log::info!("still in progress: {backlog:?}");
+                told = Some(backlog);
+            }
+            decide::AgentExport::Busy(_) => {}
+        }
+        smol::Timer::after(TICK).await;
+    }
+    smol::Timer::after(time::Duration::from_millis(settings.drain.linger_ms)).await;
+    log::info!("left");
+    Ok(())
+}
+
+async fn hand_over(
+    commands: &channel::Sender<control::ControlCommand>,
+    records: Vec<(ids::InstanceId, Vec<ledger::HandoverEntry>)>,
+    successors: Vec<ids::InstanceId>,
+) -> eyre::Result<Option<ids::InstanceId>> {
+    let parts: Vec<_> = records.into_iter().flat_map(|(home, e)| parts_of(home, e)).collect();
+    for successor in successors {
+        let (done, taken) = channel::bounded(1);
+        let command = control::ControlCommand::HandOver(successor, parts.clone(), done);
+        commands.send(command).await?;
+        if taken.recv().await? {
+            log::info!("handed the record over to {successor}");
+            return Ok(Some(successor));
+        }
+    }
+    log::warn!("no agent took the record; its requests' outcomes will be told as unknown");
+    Ok(None)
+}
+
+fn parts_of(
+    home: ids::InstanceId,
+    mut entries: Vec<ledger::HandoverEntry>,
+) -> Vec<control::HandoverPart> {
+    let mut parts = Vec::new();
+    loop {
+        let rest = entries.split_off(entries.len().min(HANDOVER_ENTRIES));
+        let is_last = rest.is_empty();
+        parts.push(control::HandoverPart { home, entries, is_last });
+        if is_last {
+            return parts;
+        }
+        entries = rest;
+    }
+}
+
+async fn set_phase(
+    commands: &channel::Sender<control::ControlCommand>,
+    phase: membership::MemberPhase,
+) -> eyre::Result<()> {
+    let (done, told) = channel::bounded(1);
+    commands.send(control::ControlCommand::SetPhase(phase, done)).await?;
+    Ok(told.recv().await?)
+}
+
+fn own_record(
+    settings: &settings::AgentSettings,
+    instance: ids::InstanceId,
+    service: ids::ServiceId,
+    packet_address: net::SocketAddr,
+    clock: &clock::ProcessClock,
+) -> membership::MemberRecord {
+    membership::MemberRecord {
+        instance,
+        name: settings.node.name.clone(),
+        started: clock.started(),
+        role: membership::MemberRole::Agent(service),
+        data_centre: settings.node.data_centre.clone(),
+        packet_address,
+        control_address: settings.node.control_address,
+        phase: membership::MemberPhase::Serving,
+        liveness: membership::MemberLiveness {
+            version: 0,
+            state: membership::LivenessState::Alive,
+        },
+    }
+}
+
+fn relay(
+    outputs: &channel::Receiver<control::ControlOutput>,
+    inputs: &channel::Sender<decide::AgentInput>,
+) {
+    while let Ok(output) = outputs.recv_blocking() {
+        if inputs.send_blocking(decide::AgentInput::Control(output)).is_err() {
+            return;
+        }
+    }
+}
+
+fn tick(inputs: &channel::Sender<decide::AgentInput>) {
+    while !inputs.is_closed() {
+        thread::sleep(TICK);
+        let _ = inputs.try_send(decide::AgentInput::Event(agent::AgentEvent::Tick));
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,1 +1,52 @@
-fn main() {}
+//! `rosemaryusher-agent`: runs beside one backend server and decides what runs on it.
+
+mod backend;
+mod daemon;
+mod decide;
+mod packets;
+mod settings;
+
+use std::path;
+
+use gumdrop::Options as _;
+
+#[derive(Debug, gumdrop::Options)]
+struct AgentOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "check the settings and stop", short = "k")]
+    check: bool,
+    #[options(help = "the settings, a file of JSON", meta = "FILE")]
+    settings: Option<path::PathBuf>,
+}
+
+const ABOUT: &str = "\
+rosemaryusher-agent runs beside one backend server. It takes callers' datagrams from
+balancers, admits them to the backend server, and runs each non-idempotent request at most once.
+
+  rosemaryusher-agent --settings agent.json
+
+SIGTERM drains: no new work, everything in progress is finished, the record of requests goes to
+another agent of the service. Exit codes: 0 done, 1 failed, 2 wrong use.
+
+Options:";
+
+fn main() -> eyre::Result<()> {
+    let options = AgentOptions::parse_args_default_or_exit();
+    if options.help_requested() {
+        println!("{ABOUT}\n{}", AgentOptions::usage());
+        return Ok(());
+    }
+    if options.version {
+        println!("rosemaryusher-agent {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let file = options.settings.ok_or_else(|| eyre::eyre!("--settings FILE is missing"))?;
+    let settings = settings::read(&file)?;
+    match options.check {
+        true => Ok(()),
+        false => daemon::run(settings),
+    }
+}
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -97,6 +97,11 @@
         /// Whether this is the last part.
         is_last: bool,
     },
+    /// What the backend server's own health page says; it can only lower the trust in it.
+    HealthWord {
+        /// Whether it says that it is well.
+        is_well: bool,
+    },
     /// Time has passed.
     Tick,
 }
@@ -213,6 +218,7 @@
     budget: retry::RetryBudget,
     failures: u32,
     last_failure: Option<ids::UnixMillis>,
+    says_unwell: bool,
     flows: flow_table::FlowTable,
     sequence: u64,
     draining: bool,
@@ -239,6 +245,7 @@
             budget: retry::RetryBudget::default(),
             failures: 0,
             last_failure: None,
+            says_unwell: false,
             flows: flow_table::FlowTable::default(),
             sequence: 0,
             draining: false,
@@ -278,6 +285,7 @@
             AgentEvent::Adopt { home, entries, is_last } => {
                 self.adopt(home, entries, is_last, now);
             }
+            AgentEvent::HealthWord { is_well } => self.says_unwell = !is_well,
             AgentEvent::Tick => self.tick(now, actions),
         }
     }
@@ -405,7 +413,7 @@
             slots: self.gate.slots(),
             flows: self.flows.owned_count() as u32,
             connections: self.spec().map_or(0, |spec| spec.host_connections),
-            failing: self.failures >= FAILURES_IN_A_ROW,
+            failing: self.says_unwell || self.failures >= FAILURES_IN_A_ROW,
         }
     }
 
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -102,6 +102,11 @@
             _ if delta.since == ids::ConfigGeneration(0) => self.drop_missing(delta),
             _ => {}
         }
+        if self.generation == ids::ConfigGeneration(0) {
+            // Removals before the first generation seen here are unknown here. Peers that are
+            // older than that get a whole configuration, or they would keep a removed service.
+            self.oldest_removal = delta.generation;
+        }
         for (changed, spec) in &delta.changed {
             self.put_service(*changed, spec);
         }
--- /dev/null
+++ b/crates/node/src/release.rs
@@ -0,0 +1,497 @@
+//! How a configuration is kept on the platform, and how one is accepted.
+//!
+//! One head object names the parts of the configuration by their digests. Parts are written first
+//! and never changed; the configuration is accepted at the moment when the conditional update of
+//! the head succeeds. A half-written configuration is therefore never seen.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use eyre::WrapErr as _;
+use rand::Rng as _;
+use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::manifest;
+use rosemaryusher_core::ticket;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::platform;
+
+/// The key of the head object.
+pub const HEAD_KEY: &str = "config/head";
+
+/// Into how many parts the services are spread, at most.
+///
+/// Each change rewrites one part and the head, so a part stays far below the platform's megabyte.
+const PART_COUNT: u32 = 64;
+
+/// How many earlier writes a head remembers, so that a writer finds its own under later ones.
+const HISTORY_LENGTH: usize = 64;
+
+/// How long before a fresh key seals, in milliseconds: the time it takes to reach every process.
+const KEY_SPREAD_MS: u64 = 20_000;
+
+/// How often a platform that cannot be reached is asked again.
+const STORE_ATTEMPTS: u32 = 8;
+
+/// An address that may not serve another service yet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RestingAddress {
+    /// The address.
+    pub address: net::SocketAddr,
+    /// The service that had it.
+    pub service: String,
+    /// Until when it rests.
+    pub until: ids::UnixMillis,
+}
+
+/// One accepted write.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WriteRecord {
+    /// Unique to the write.
+    pub write_id: String,
+    /// Who wrote.
+    pub author: String,
+    /// The generation that it replaced; zero for the first.
+    pub replaced: u64,
+}
+
+/// The head object: all of a configuration by reference.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeadObject {
+    /// Accepted writes, the newest first; the first is this one.
+    pub history: Vec<WriteRecord>,
+    /// The keys of the parts.
+    pub parts: Vec<String>,
+    /// The data centres.
+    pub data_centres: Vec<String>,
+    /// The keys that seal tickets.
+    pub keys: ticket::KeyRing,
+    /// Addresses that rest.
+    pub resting: Vec<RestingAddress>,
+}
+
+/// What a write changes.
+#[derive(Clone, Debug)]
+pub enum ReleaseChange {
+    /// The manifest.
+    Manifest(manifest::ServiceManifest),
+    /// The keys: a fresh one is added.
+    FreshKey,
+}
+
+/// A write that is to be accepted.
+#[derive(Clone, Debug)]
+pub struct ReleaseDraft {
+    /// Who writes.
+    pub author: String,
+    /// The generation that the author has seen; any, if `None`.
+    pub expected: Option<ids::ConfigGeneration>,
+    /// What is to change.
+    pub change: ReleaseChange,
+}
+
+/// What became of a write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReleaseOutcome {
+    /// It is accepted.
+    Accepted(ids::ConfigGeneration),
+    /// What is in force already says the same.
+    Unchanged(ids::ConfigGeneration),
+    /// Another write came first; this one is not accepted and changed nothing.
+    Conflict {
+        /// The generation that won.
+        generation: ids::ConfigGeneration,
+        /// Its author.
+        author: String,
+        /// How this write's manifest differs from what is in force.
+        differences: Vec<String>,
+    },
+    /// It has faults and was not written.
+    Faulty(Vec<manifest::ManifestFault>),
+}
+
+/// Reads the configuration that a head object names.
+///
+/// # Errors
+///
+/// Fails if the platform cannot be read, or holds what is no configuration.
+pub async fn load(
+    store: &dyn platform::ObjectStore,
+    head: &platform::StoredObject,
+) -> eyre::Result<config::ConfigDelta> {
+    let object: HeadObject =
+        serde_json::from_str(&head.value).wrap_err("the head object is damaged")?;
+    let services = load_parts(store, &object.parts).await?;
+    let generation = ids::ConfigGeneration(head.version);
+    Ok(config::ConfigDelta {
+        since: ids::ConfigGeneration(0),
+        generation,
+        changed: services.into_iter().map(|spec| (generation, spec)).collect(),
+        removed: Vec::new(),
+        keys: object.keys,
+        data_centres: object.data_centres,
+    })
+}
+
+/// Reads the manifest in force and its generation; an empty one before the first.
+///
+/// # Errors
+///
+/// Fails if the platform cannot be read.
+pub async fn read_manifest(
+    store: &dyn platform::ObjectStore,
+) -> eyre::Result<(ids::ConfigGeneration, manifest::ServiceManifest)> {
+    let held = read_head(store).await?;
+    Ok((held.generation(), held.manifest(store).await?))
+}
+
+/// Has a change accepted, or says why it was not.
+///
+/// A write whose answer is lost is settled by looking for its own id in the head's history, never
+/// by assuming: it may have taken effect, and another may have come on top of it since.
+///
+/// # Errors
+///
+/// Fails if the platform stays out of reach; it is then not known whether the change was accepted,
+/// and the same call made later finds out by its manifest.
+pub async fn submit(
+    store: &dyn platform::ObjectStore,
+    draft: &ReleaseDraft,
+    now: ids::UnixMillis,
+) -> eyre::Result<ReleaseOutcome> {
+    let held = read_head(store).await?;
+    if draft.expected.is_some_and(|expected| expected != held.generation()) {
+        return conflict(store, &held, draft).await;
+    }
+    let write_id = format!("{:032x}", rand::rng().next_u64() as u128 ^ (now.0 as u128) << 64);
+    let replaced = held.generation().0;
+    let record = WriteRecord { write_id: write_id.clone(), author: draft.author.clone(), replaced };
+    let (object, parts) = match next_head(store, &held, draft, record, now).await? {
+        NextHead::Object(object, parts) => (object, parts),
+        NextHead::Unchanged => return Ok(ReleaseOutcome::Unchanged(held.generation())),
+        NextHead::Faulty(faults) => return Ok(ReleaseOutcome::Faulty(faults)),
+    };
+    for (key, value) in parts {
+        write_part(store, &key, &value).await?;
+    }
+    write_head(store, held, &object, &write_id, draft).await
+}
+
+/// The head as it was read, with its version.
+struct HeldHead {
+    version: Option<u64>,
+    object: HeadObject,
+}
+
+impl HeldHead {
+    fn generation(&self) -> ids::ConfigGeneration {
+        ids::ConfigGeneration(self.version.unwrap_or(0))
+    }
+
+    /// The generation that a write became, if it was accepted: the head's own where it is the
+    /// newest, else the one that the next write replaced.
+    fn generation_of(&self, write_id: &str) -> Option<ids::ConfigGeneration> {
+        let history = &self.object.history;
+        match history.iter().position(|write| write.write_id == write_id)? {
+            0 => Some(self.generation()),
+            age => Some(ids::ConfigGeneration(history[age - 1].replaced)),
+        }
+    }
+
+    fn condition(&self) -> platform::WriteCondition {
+        match self.version {
+            Some(version) => platform::WriteCondition::Version(version),
+            None => platform::WriteCondition::Absent,
+        }
+    }
+
+    async fn manifest(
+        &self,
+        store: &dyn platform::ObjectStore,
+    ) -> eyre::Result<manifest::ServiceManifest> {
+        let mut services = load_parts(store, &self.object.parts).await?;
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let data_centres = self.object.data_centres.clone();
+        Ok(manifest::ServiceManifest { data_centres, services })
+    }
+}
+
+enum NextHead {
+    Object(HeadObject, collections::BTreeMap<String, String>),
+    Unchanged,
+    Faulty(Vec<manifest::ManifestFault>),
+}
+
+async fn next_head(
+    store: &dyn platform::ObjectStore,
+    held: &HeldHead,
+    draft: &ReleaseDraft,
+    record: WriteRecord,
+    now: ids::UnixMillis,
+) -> eyre::Result<NextHead> {
+    let mut object = held.object.clone();
+    object.history.insert(0, record);
+    object.history.truncate(HISTORY_LENGTH);
+    let mut parts = collections::BTreeMap::new();
+    match &draft.change {
+        ReleaseChange::FreshKey => {
+            let active_from = match object.keys.is_empty() {
+                true => ids::UnixMillis(0),
+                false => now.plus(KEY_SPREAD_MS),
+            };
+            object.keys.rotate(now, active_from, random_secret());
+        }
+        ReleaseChange::Manifest(wanted) => {
+            let current = held.manifest(store).await?;
+            let mut faults = wanted.check();
+            faults.extend(resting_faults(wanted, &current, &object.resting, now));
+            if !faults.is_empty() {
+                return Ok(NextHead::Faulty(faults));
+            }
+            if held.version.is_some() && differences(&current, wanted).is_empty() {
+                return Ok(NextHead::Unchanged);
+            }
+            if object.keys.is_empty() {
+                object.keys.rotate(now, ids::UnixMillis(0), random_secret());
+            }
+            object.resting = next_resting(wanted, &current, &object.resting, now);
+            object.data_centres = wanted.data_centres.clone();
+            parts = parts_of(wanted)?;
+            object.parts = parts.keys().cloned().collect();
+        }
+    }
+    Ok(NextHead::Object(object, parts))
+}
+
+async fn write_head(
+    store: &dyn platform::ObjectStore,
+    held: HeldHead,
+    object: &HeadObject,
+    write_id: &str,
+    draft: &ReleaseDraft,
+) -> eyre::Result<ReleaseOutcome> {
+    let value = serde_json::to_string(object)?;
+    for attempt in 0..STORE_ATTEMPTS {
+        match store.put(HEAD_KEY, value.clone(), held.condition()).await {
+            Ok(version) => {
+                return Ok(ReleaseOutcome::Accepted(ids::ConfigGeneration(version)));
+            }
+            Err(platform::StoreError::Unavailable) => back_off(attempt).await,
+            Err(platform::StoreError::Conflict | platform::StoreError::Unknown) => {
+                let found = read_head(store).await?;
+                if let Some(generation) = found.generation_of(write_id) {
+                    return Ok(ReleaseOutcome::Accepted(generation));
+                }
+                if found.version != held.version {
+                    return conflict(store, &found, draft).await;
+                }
+                back_off(attempt).await;
+            }
+        }
+    }
+    Err(platform::StoreError::Unavailable.into())
+}
+
+async fn conflict(
+    store: &dyn platform::ObjectStore,
+    held: &HeldHead,
+    draft: &ReleaseDraft,
+) -> eyre::Result<ReleaseOutcome> {
+    let differences = match &draft.change {
+        ReleaseChange::FreshKey => Vec::new(),
+        ReleaseChange::Manifest(wanted) => differences(&held.manifest(store).await?, wanted),
+    };
+    let author = held.object.history.first().map(|write| write.author.clone());
+    Ok(ReleaseOutcome::Conflict {
+        generation: held.generation(),
+        author: author.unwrap_or_default(),
+        differences,
+    })
+}
+
+async fn read_head(store: &dyn platform::ObjectStore) -> eyre::Result<HeldHead> {
+    let stored = read_object(store, HEAD_KEY).await?;
+    let object = match &stored {
+        Some(stored) => {
+            serde_json::from_str(&stored.value).wrap_err("the head object is damaged")?
+        }
+        None => HeadObject::default(),
+    };
+    Ok(HeldHead { version: stored.map(|stored| stored.version), object })
+}
+
+async fn read_object(
+    store: &dyn platform::ObjectStore,
+    key: &str,
+) -> eyre::Result<Option<platform::StoredObject>> {
+    for attempt in 0..STORE_ATTEMPTS {
+        match store.get(key).await {
+            Ok(object) => return Ok(object),
+            Err(_) => back_off(attempt).await,
+        }
+    }
+    Err(platform::StoreError::Unavailable.into())
+}
+
+async fn load_parts(
+    store: &dyn platform::ObjectStore,
+    keys: &[String],
+) -> eyre::Result<Vec<manifest::ServiceSpec>> {
+    let mut services = Vec::new();
+    for key in keys {
+        let part = read_object(store, key).await?;
+        let part = part.ok_or_else(|| eyre::eyre!("part {key} is missing"))?;
+        let specs: Vec<manifest::ServiceSpec> =
+            serde_json::from_str(&part.value).wrap_err_with(|| format!("part {key} is damaged"))?;
+        services.extend(specs);
+    }
+    Ok(services)
+}
+
+/// Writes a part; one that exists is the same, since its key is its digest.
+async fn write_part(store: &dyn platform::ObjectStore, key: &str, value: &str) -> eyre::Result<()> {
+    for attempt in 0..STORE_ATTEMPTS {
+        match store.put(key, value.to_owned(), platform::WriteCondition::Absent).await {
+            Ok(_) | Err(platform::StoreError::Conflict) => return Ok(()),
+            Err(_) => back_off(attempt).await,
+        }
+    }
+    Err(platform::StoreError::Unavailable.into())
+}
+
+fn parts_of(
+    manifest: &manifest::ServiceManifest,
+) -> eyre::Result<collections::BTreeMap<String, String>> {
+    let mut buckets: collections::BTreeMap<u32, Vec<&manifest::ServiceSpec>> =
+        collections::BTreeMap::new();
+    for spec in &manifest.services {
+        buckets.entry(spec.id().0 % PART_COUNT).or_default().push(spec);
+    }
+    let mut parts = collections::BTreeMap::new();
+    for specs in buckets.values() {
+        let value = serde_json::to_string(specs)?;
+        let key = format!("config/part-{}", blake3::hash(value.as_bytes()).to_hex());
+        parts.insert(key, value);
+    }
+    Ok(parts)
+}
+
+fn resting_faults(
+    wanted: &manifest::ServiceManifest,
+    current: &manifest::ServiceManifest,
+    resting: &[RestingAddress],
+    now: ids::UnixMillis,
+) -> Vec<manifest::ManifestFault> {
+    let in_use = current
+        .services
+        .iter()
+        .flat_map(|spec| spec.addresses().map(|address| (address, spec.name.as_str())));
+    let rests = resting.iter().filter(|rest| rest.until > now);
+    let taken: collections::HashMap<_, _> =
+        rests.map(|rest| (rest.address, rest.service.as_str())).chain(in_use).collect();
+    let mut faults = Vec::new();
+    for (index, spec) in wanted.services.iter().enumerate() {
+        for address in spec.addresses() {
+            let Some(other) = taken.get(&address).filter(|other| **other != spec.name) else {
+                continue;
+            };
+            let rest_s = config::ADDRESS_REST_MS / 1_000;
+            faults.push(manifest::ManifestFault {
+                path: format!("services[{index}]"),
+                problem: format!("{address} served {other:?} until now"),
+                mend: format!(
+                    "use another address, or remove it and apply again after {rest_s} s, so that \
+                     no caller of {other:?} reaches {:?}",
+                    spec.name
+                ),
+            });
+        }
+    }
+    faults
+}
+
+fn next_resting(
+    wanted: &manifest::ServiceManifest,
+    current: &manifest::ServiceManifest,
+    resting: &[RestingAddress],
+    now: ids::UnixMillis,
+) -> Vec<RestingAddress> {
+    let kept: collections::HashSet<_> =
+        wanted.services.iter().flat_map(manifest::ServiceSpec::addresses).collect();
+    let until = now.plus(config::ADDRESS_REST_MS);
+    let mut next: Vec<_> = resting.iter().filter(|rest| rest.until > now).cloned().collect();
+    for spec in &current.services {
+        let gone = spec.addresses().filter(|address| !kept.contains(address));
+        next.extend(gone.map(|address| {
+            let service = spec.name.clone();
+            RestingAddress { address, service, until }
+        }));
+    }
+    next
+}
+
+/// Lists how `wanted` differs from `current`, a line a difference.
+pub fn differences(
+    current: &manifest::ServiceManifest,
+    wanted: &manifest::ServiceManifest,
+) -> Vec<String> {
+    let by_name = |manifest: &manifest::ServiceManifest| {
+        let specs = manifest.services.iter();
+        specs.map(|spec| (spec.name.clone(), spec.clone())).collect::<collections::BTreeMap<_, _>>()
+    };
+    let (current_specs, wanted_specs) = (by_name(current), by_name(wanted));
+    let mut lines = Vec::new();
+    if current.data_centres != wanted.data_centres {
+        lines.push(format!(
+            "data_centres: {:?} in force, {:?} wanted",
+            current.data_centres, wanted.data_centres
+        ));
+    }
+    for (name, spec) in &wanted_specs {
+        match current_specs.get(name) {
+            None => lines.push(format!("service {name:?}: wanted, not in force")),
+            Some(held) if held == spec => {}
+            Some(held) => lines.extend(field_differences(name, held, spec)),
+        }
+    }
+    let gone = current_specs.keys().filter(|name| !wanted_specs.contains_key(*name));
+    lines.extend(gone.map(|name| format!("service {name:?}: in force, not wanted")));
+    lines
+}
+
+fn field_differences(
+    name: &str,
+    current: &manifest::ServiceSpec,
+    wanted: &manifest::ServiceSpec,
+) -> Vec<String> {
+    let fields = |spec| match serde_json::to_value(spec) {
+        Ok(serde_json::Value::Object(fields)) => fields,
+        _ => serde_json::Map::new(),
+    };
+    let (current, wanted) = (fields(current), fields(wanted));
+    let names: collections::BTreeSet<_> = current.keys().chain(wanted.keys()).collect();
+    let null = serde_json::Value::Null;
+    names
+        .into_iter()
+        .map(|field| {
+            (field, current.get(field).unwrap_or(&null), wanted.get(field).unwrap_or(&null))
+        })
+        .filter(|(_, held, new)| held != new)
+        .map(|(field, held, new)| format!("service {name:?}: {field} is {held}, wanted {new}"))
+        .collect()
+}
+
+fn random_secret() -> [u8; 32] {
+    let mut secret = [0; 32];
+    rand::rng().fill_bytes(&mut secret);
+    secret
+}
+
+async fn back_off(attempt: u32) {
+    let base_ms = 50u64 << attempt.min(5);
+    let jitter_ms = rand::rng().next_u64() % base_ms;
+    smol::Timer::after(time::Duration::from_millis(base_ms + jitter_ms)).await;
+}
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -97,10 +97,13 @@
     /// The caller's id for the request.
     ///
     /// Without a Request-Tag, token and message id stand in: a caller's own retransmission repeats
-    /// both, and a new request repeats neither.
+    /// both, and a new request repeats neither. The blocks of one body differ in their message
+    /// ids, so there the token alone stands in.
     fn tag(&self) -> u64 {
+        let upload = self.block(coap_lite::CoapOption::Block1);
         match self.packet.get_first_option(REQUEST_TAG_OPTION) {
             Some(tag) => xxh3::xxh3_64_with_seed(tag, 1),
+            None if upload.is_some() => xxh3::xxh3_64_with_seed(self.packet.get_token(), 2),
             None => {
                 let seed = u64::from(self.packet.header.message_id) << 16;
                 xxh3::xxh3_64_with_seed(self.packet.get_token(), seed)
