Run the whole path as separate processes

Cause: nothing showed yet that the parts work together. Change: stand-ins for the platform, the fabric, a backend server and callers; a main job that starts them all, kills a balancer, starts another, drains an agent, shuts a balancer down, and counts what became of every request.

--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,127 @@
+//! The stand-ins as processes, and the main job that starts them all.
+
+use std::net;
+use std::process;
+
+use gumdrop::Options as _;
+use rosemaryusher_standins::backend;
+use rosemaryusher_standins::demo;
+use rosemaryusher_standins::fabric;
+use rosemaryusher_standins::load;
+use rosemaryusher_standins::platform;
+
+#[derive(Debug, gumdrop::Options)]
+struct MainOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command, required)]
+    command: Option<StandInCommand>,
+}
+
+#[derive(Debug, gumdrop::Options)]
+enum StandInCommand {
+    #[options(help = "stand in for the platform")]
+    Platform(PlatformOptions),
+    #[options(help = "stand in for the fabric")]
+    Fabric(FabricOptions),
+    #[options(help = "stand in for a backend server")]
+    Backend(BackendOptions),
+    #[options(help = "stand in for callers of one service")]
+    Callers(CallerOptions),
+    #[options(help = "run the main job end to end and print what happened")]
+    Demo(DemoOptions),
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct PlatformOptions {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct FabricOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "how many service addresses to take", default = "2")]
+    addresses: usize,
+    #[options(help = "seeds the choice of balancers", default = "1")]
+    seed: u64,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct BackendOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the service's name", required)]
+    service: String,
+    #[options(help = "the host's name", required)]
+    host: String,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct CallerOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "the service's name", required)]
+    service: String,
+    #[options(help = "where requests go", required)]
+    requests: Option<net::SocketAddr>,
+    #[options(help = "where datagrams go", required)]
+    datagrams: Option<net::SocketAddr>,
+    #[options(help = "how many callers", default = "10")]
+    callers: u64,
+    #[options(help = "how many rounds each makes", default = "20")]
+    rounds: u64,
+    #[options(help = "between two rounds, in milliseconds", default = "150")]
+    pause_ms: u64,
+    #[options(help = "seeds ids", default = "1")]
+    seed: u64,
+}
+
+#[derive(Debug, gumdrop::Options)]
+struct DemoOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "callers of each service", default = "10")]
+    callers: u64,
+    #[options(help = "rounds of each caller", default = "60")]
+    rounds: u64,
+    #[options(help = "seeds the fabric and the callers", default = "1")]
+    seed: u64,
+}
+
+fn main() -> eyre::Result<process::ExitCode> {
+    let options = MainOptions::parse_args_default_or_exit();
+    match options.command {
+        Some(StandInCommand::Platform(_)) => platform::run()?,
+        Some(StandInCommand::Fabric(options)) => fabric::run(options.addresses, options.seed)?,
+        Some(StandInCommand::Backend(options)) => backend::run(&options.service, &options.host)?,
+        Some(StandInCommand::Callers(options)) => call(options)?,
+        Some(StandInCommand::Demo(options)) => return run_demo(&options),
+        None => println!("{}", MainOptions::usage()),
+    }
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn call(options: CallerOptions) -> eyre::Result<()> {
+    let missing = || eyre::eyre!("an address is missing");
+    let plan = load::LoadPlan {
+        service: options.service,
+        requests: options.requests.ok_or_else(missing)?,
+        datagrams: options.datagrams.ok_or_else(missing)?,
+        callers: options.callers,
+        rounds: options.rounds,
+        pause_ms: options.pause_ms,
+        seed: options.seed,
+    };
+    let summary = smol::block_on(load::run(&plan))?;
+    println!("{}", serde_json::to_string(&summary)?);
+    Ok(())
+}
+
+fn run_demo(options: &DemoOptions) -> eyre::Result<process::ExitCode> {
+    let plan =
+        demo::DemoPlan { callers: options.callers, rounds: options.rounds, seed: options.seed };
+    let held = demo::run(&plan)?;
+    Ok(process::ExitCode::from(u8::from(!held)))
+}
