--- a/crates/agent/src/packets.rs
+++ b/crates/agent/src/packets.rs
@@ -25,8 +25,8 @@
             meters::count_drop("damaged_packet");
             continue;
         };
-        let request = request_in(&packet);
-        let event = agent::AgentEvent::Peer { packet, request };
+        let request = request_in(&packet).map(Box::new);
+        let event = agent::AgentEvent::Peer { packet: Box::new(packet), request };
         drop(rings::offer(&inputs, decide::AgentInput::Event(event), "ring_full"));
     }
 }
--- a/crates/core/src/agent/flows.rs
+++ b/crates/core/src/agent/flows.rs
@@ -87,13 +87,17 @@
         actions.push(agent::AgentAction::Send { to, packet });
     }
 
-    /// Decides about flows whose lookup got no answer.
+    /// Looks up again where no answer came, and places the flow once that was tried enough.
     pub(crate) fn end_overdue_lookups(
         &mut self,
         now: ids::UnixMillis,
         actions: &mut Vec<agent::AgentAction>,
     ) {
         for flow in self.flows.overdue(now) {
+            if let Some(first) = self.flows.retry_lookup(&flow, now) {
+                self.ask_others(first, now, actions);
+                continue;
+            }
             let Some(pending) = self.flows.end_lookup(&flow) else { continue };
             let mut first = pending.first;
             first.step = message::ForwardStep::FlowFirst;
@@ -200,14 +204,28 @@
         now: ids::UnixMillis,
         actions: &mut Vec<agent::AgentAction>,
     ) {
-        let flow = packet.flow();
-        let mut others = self.routes.settled(&flow, &self.view, now);
+        self.flows.start_lookup(&packet, now);
+        self.ask_others(packet, now, actions);
+    }
+
+    /// Sends a datagram on its way along the other candidates, in search of an owner.
+    fn ask_others(
+        &mut self,
+        packet: message::ForwardPacket,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let mut others = self.routes.settled(&packet.flow(), &self.view, now);
         others.retain(|host| *host != self.config.instance);
         others.truncate(routing::LOOKUP_DEPTH);
         if others.is_empty() {
-            return self.place_flow(packet, now, actions);
+            return self.found_missing(packet, now, actions);
         }
-        self.flows.start_lookup(&packet, now);
+        // One of them may be dead without anyone having noticed, and ends the search when it is
+        // asked. Each attempt starts with another, so that the rest are asked before it once.
+        let attempt = self.flows.lookup_attempts(&packet.flow()) as usize;
+        let length = others.len();
+        others.rotate_left(attempt % length);
         let first = others.remove(0);
         let anchor = self.config.instance;
         let step = message::ForwardStep::FlowLookup { anchor, rest: others };
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -64,9 +64,9 @@
     /// A packet of another process, and the request in it where it holds one.
     Peer {
         /// The packet.
-        packet: message::PeerPacket,
+        packet: Box<message::PeerPacket>,
         /// The request; `None` where the packet holds none that can be understood.
-        request: Option<message::CallerRequest>,
+        request: Option<Box<message::CallerRequest>>,
     },
     /// A run on the backend server has ended.
     RunEnded {
@@ -265,7 +265,8 @@
     ) {
         match event {
             AgentEvent::Peer { packet, request } => {
-                self.handle_peer(packet, request, now, actions);
+                let request = request.map(|request| *request);
+                self.handle_peer(*packet, request, now, actions);
             }
             AgentEvent::RunEnded { run, outcome } => self.end_run(run, outcome, now, actions),
             AgentEvent::BackendDatagram { flow, payload } => {
--- a/crates/core/src/agent/requests.rs
+++ b/crates/core/src/agent/requests.rs
@@ -329,10 +329,13 @@
         if let Some(answer) = self.fetch_body(&target, now) {
             return self.answer(&target, &answer, now, actions);
         }
-        if self.draining && self.pass_request(&arrival.packet, false, now, actions) {
-            return;
+        if !self.draining {
+            return self.admit(arrival, None, now, actions);
+        }
+        if !self.pass_request(&arrival.packet, false, now, actions) {
+            let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
+            self.refuse(&target, kind, actions);
         }
-        self.admit(arrival, None, now, actions);
     }
 
     /// Serves a request under a ticket that names this run.
--- a/crates/core/src/flow_table.rs
+++ b/crates/core/src/flow_table.rs
@@ -10,8 +10,14 @@
 /// How many datagrams of a flow are held while its owner is looked up.
 const HELD_LIMIT: usize = 8;
 
-/// How long an owner is looked up before the flow counts as new, in milliseconds.
-pub const LOOKUP_TIMEOUT_MS: u64 = 250;
+/// How long a lookup waits for its answer before it is made again, in milliseconds.
+pub const LOOKUP_TIMEOUT_MS: u64 = 150;
+
+/// How often an owner is looked up before the flow counts as new.
+///
+/// One lost packet would otherwise make an open flow look new, and move it to another backend
+/// server.
+pub const LOOKUP_ATTEMPTS: u32 = 3;
 
 /// How many flows' owners one agent remembers for others.
 const DIRECTORY_LIMIT: usize = 262_144;
@@ -32,11 +38,13 @@
 /// A flow whose owner is being looked up.
 #[derive(Clone, Debug)]
 pub struct PendingFlow {
-    /// Since when.
+    /// When the last lookup was made.
     pub since: ids::UnixMillis,
+    /// How many were made.
+    pub attempts: u32,
     /// Datagrams that came meanwhile.
     pub held: Vec<message::ForwardPacket>,
-    /// A datagram whose copy travels with the lookup; stands in if that is lost.
+    /// The datagram that travels with the lookup; sent along again if that is lost.
     pub first: message::ForwardPacket,
 }
 
@@ -86,10 +94,23 @@
 
     /// Starts to look up a flow's owner.
     pub fn start_lookup(&mut self, packet: &message::ForwardPacket, now: ids::UnixMillis) {
-        let pending = PendingFlow { since: now, held: Vec::new(), first: packet.clone() };
+        let pending =
+            PendingFlow { since: now, attempts: 1, held: Vec::new(), first: packet.clone() };
         self.pending.insert(packet.flow(), pending);
     }
 
+    /// Notes that a lookup is made again; `None` once it has been made often enough.
+    pub fn retry_lookup(
+        &mut self,
+        flow: &placement::FlowKey,
+        now: ids::UnixMillis,
+    ) -> Option<message::ForwardPacket> {
+        let pending = self.pending.get_mut(flow).filter(|p| p.attempts < LOOKUP_ATTEMPTS)?;
+        pending.attempts += 1;
+        pending.since = now;
+        Some(pending.first.clone())
+    }
+
     /// Holds a datagram until the owner is known; false if there is no lookup or no room.
     pub fn hold(&mut self, packet: &message::ForwardPacket) -> bool {
         match self.pending.get_mut(&packet.flow()) {
@@ -143,6 +164,11 @@
         self.pending.contains_key(flow)
     }
 
+    /// How often a flow's owner has been looked up, not counting the first time.
+    pub fn lookup_attempts(&self, flow: &placement::FlowKey) -> u32 {
+        self.pending.get(flow).map_or(0, |pending| pending.attempts.saturating_sub(1))
+    }
+
     /// Lookups that have taken too long.
     pub fn overdue(&self, now: ids::UnixMillis) -> Vec<placement::FlowKey> {
         let late = |pending: &&PendingFlow| now.since(pending.since) >= LOOKUP_TIMEOUT_MS;
