--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -5,7 +5,6 @@
 use crate::process;
 
 const SERVICES: [&str; 2] = ["taller", "wallet-api"];
-const CENTRES: [&str; 3] = ["a", "b", "c"];
 
 /// How the main job is run.
 #[derive(Clone, Debug)]
@@ -25,22 +24,8 @@
 /// Fails if a process cannot be started or does not answer.
 pub fn run(plan: &DemoPlan) -> eyre::Result<bool> {
     println!("starting a platform, a fabric, 3 balancers, 6 agents with backend servers");
-    let mut fleet = fleet::ProcessFleet::start(&SERVICES, plan.seed)?;
-    for number in 1..=3 {
-        fleet.start_balancer(&format!("balancer-{number}"), &[])?;
-    }
-    for service in SERVICES {
-        for (number, centre) in CENTRES.iter().enumerate() {
-            fleet.start_host(&format!("{service}-{number}"), service, centre)?;
-        }
-    }
-    let (code, text) = fleet.apply("demo", &fleet.manifest(), &[])?;
-    print!("{text}");
-    eyre::ensure!(code == Some(0), "apply ended with {code:?}");
-    fleet.settle()?;
-    fleet.wait_settled();
-    fleet.spray()?;
-
+    let mut fleet = fleet::ProcessFleet::serving(&SERVICES, 3, 3, plan.seed)?;
+    println!("the configuration is in force on all of them");
     println!("callers start; meanwhile:");
     let callers = SERVICES.map(|service| start_callers(&fleet, service, plan));
     let callers: Vec<_> = callers.into_iter().collect::<eyre::Result<_>>()?;
@@ -56,24 +41,24 @@
 
 /// One balancer dies, another takes its place, an agent drains and comes back.
 fn change_things(fleet: &mut fleet::ProcessFleet) -> eyre::Result<()> {
-    println!("- balancer-1 is killed, the fabric notices, balancer-4 joins");
-    if let Some(mut balancer) = fleet.balancers.remove("balancer-1") {
+    println!("- balancer-0 is killed, the fabric notices, balancer-3 joins");
+    if let Some(mut balancer) = fleet.balancers.remove("balancer-0") {
         balancer.process.kill();
     }
     fleet.spray()?;
-    fleet.start_balancer("balancer-4", &[])?;
+    fleet.start_balancer("balancer-3", &[])?;
     fleet.settle()?;
     fleet.spray()?;
     println!("- the agent wallet-api-0 is told to drain; it finishes its flows, then leaves");
     if let Some(host) = fleet.hosts.get("wallet-api-0") {
         host.agent.terminate();
     }
-    println!("- balancer-2 shuts down gracefully");
-    let names = ["balancer-3", "balancer-4"];
+    println!("- balancer-1 shuts down gracefully");
+    let names = ["balancer-2", "balancer-3"];
     fleet.spray_over(&names)?;
-    if let Some(mut balancer) = fleet.balancers.remove("balancer-2") {
+    if let Some(mut balancer) = fleet.balancers.remove("balancer-1") {
         balancer.process.terminate();
-        eyre::ensure!(balancer.process.wait()?, "balancer-2 did not end well");
+        eyre::ensure!(balancer.process.wait()?, "balancer-1 did not end well");
     }
     Ok(())
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -115,6 +115,35 @@
         })
     }
 
+    /// A fleet that serves: so many balancers, so many hosts of each service, `name-0` and on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process cannot be started or the fleet does not settle.
+    pub fn serving(
+        names: &[&str],
+        balancers: usize,
+        hosts: usize,
+        seed: u64,
+    ) -> eyre::Result<ProcessFleet> {
+        let mut fleet = ProcessFleet::start(names, seed)?;
+        for number in 0..balancers {
+            fleet.start_balancer(&format!("balancer-{number}"), &[])?;
+        }
+        for name in names {
+            for number in 0..hosts {
+                let centre = ["a", "b", "c"][number % 3];
+                fleet.start_host(&format!("{name}-{number}"), name, centre)?;
+            }
+        }
+        let (code, text) = fleet.apply("setup", &fleet.manifest(), &[])?;
+        eyre::ensure!(code == Some(0), "apply ended with {code:?}: {text}");
+        fleet.settle()?;
+        fleet.wait_settled();
+        fleet.spray()?;
+        Ok(fleet)
+    }
+
     /// The manifest of the fleet's services.
     pub fn manifest(&self) -> serde_json::Value {
         let service = |service: &FleetService| {
--- /dev/null
+++ b/crates/standins/tests/platform_outage.rs
@@ -0,0 +1,87 @@
+//! The platform down, slow, and losing answers; operators' commands, as real processes.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
+
+use rosemaryusher_standins::caller;
+use rosemaryusher_standins::fleet;
+use rosemaryusher_standins::platform;
+
+const SERVICE: &str = "statements";
+
+fn ask(fleet: &fleet::ProcessFleet, seed: u64) -> caller::CallerOutcome {
+    let address = fleet.service(SERVICE).requests;
+    smol::block_on(async {
+        let mut client = caller::CallerClient::connect(address, seed).await.unwrap();
+        client.post("/statements", &format!("statement-{seed}")).await
+    })
+}
+
+/// Callers notice nothing while the platform is down, and a balancer that starts then serves.
+/// It finds the others by its settings and has the configuration from them.
+#[test]
+fn started_while_down() {
+    let mut fleet = fleet::ProcessFleet::serving(&[SERVICE], 2, 2, 31).unwrap();
+    let down = platform::PlatformFaults { down: true, ..Default::default() };
+    fleet.fail_platform(&down).unwrap();
+    let peers: Vec<_> = fleet.balancers.values().map(|balancer| balancer.control).collect();
+    fleet.start_balancer("balancer-2", &peers).unwrap();
+    fleet.settle().unwrap();
+    fleet.spray_over(&["balancer-2"]).unwrap();
+    let outcome = ask(&fleet, 1);
+    assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
+    let (code, text) = fleet.apply("ana", &fleet.manifest(), &[]).unwrap();
+    assert_eq!(code, Some(1), "{text}");
+    fleet.fail_platform(&platform::PlatformFaults::default()).unwrap();
+    let mut manifest = fleet.manifest();
+    manifest["services"][0]["host_slots"] = 3.into();
+    let (code, text) = fleet.apply("ana", &manifest, &[]).unwrap();
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("in force on 3 of 3 balancers"), "{text}");
+}
+
+/// The operator is told "accepted" once, though the platform's answer was lost.
+#[test]
+fn answer_lost() {
+    let fleet = fleet::ProcessFleet::serving(&[SERVICE], 2, 1, 32).unwrap();
+    let mut manifest = fleet.manifest();
+    manifest["services"][0]["host_slots"] = 7.into();
+    let faults = platform::PlatformFaults { lost_answers: 2, slow_ms: 20, ..Default::default() };
+    fleet.fail_platform(&faults).unwrap();
+    let (code, text) = fleet.apply("ana", &manifest, &[]).unwrap();
+    assert_eq!(code, Some(0), "{text}");
+    assert_eq!(text.matches("accepted as generation").count(), 1, "{text}");
+    let (_, status) = fleet.command(&["status", "--json", "--platform", &address(&fleet)]).unwrap();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    assert_eq!(status["services"][0]["host_slots"], 7);
+}
+
+/// Of two operators one wins and the other is told who and what differs, with an exit code.
+#[test]
+fn operators_race() {
+    let fleet = fleet::ProcessFleet::serving(&[SERVICE], 1, 1, 33).unwrap();
+    let (_, status) = fleet.command(&["status", "--json", "--platform", &address(&fleet)]).unwrap();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap();
+    let seen = status["generation"].to_string();
+    let manifests = [5, 6].map(|slots| {
+        let mut manifest = fleet.manifest();
+        manifest["services"][0]["host_slots"] = slots.into();
+        manifest
+    });
+    let results = std::thread::scope(|scope| {
+        let race = |(author, manifest)| {
+            let (fleet, seen) = (&fleet, &seen);
+            scope.spawn(move || fleet.apply(author, manifest, &["--expect", seen]).unwrap())
+        };
+        let racers = [("ana", &manifests[0]), ("bea", &manifests[1])].map(race);
+        racers.map(|racer| racer.join().unwrap())
+    });
+    let mut codes: Vec<_> = results.iter().map(|(code, _)| *code).collect();
+    codes.sort_unstable();
+    assert_eq!(codes, [Some(0), Some(3)], "{results:?}");
+    let loser = results.iter().find(|(code, _)| *code == Some(3)).unwrap();
+    assert!(loser.1.contains("came first") && loser.1.contains("host_slots"), "{}", loser.1);
+}
+
+fn address(fleet: &fleet::ProcessFleet) -> String {
+    fleet.platform_address.to_string()
+}
