Bound bucket tables and the news of a newcomer

Change: 16 buckets a host, 65536 at the most; a fetched view is not news. Conclusion: filling and choosing among many hosts are still too slow; next.

--- a/crates/core/src/membership/prober.rs
+++ b/crates/core/src/membership/prober.rs
@@ -160,10 +160,17 @@
     }
 
     /// Takes in a whole view.
+    ///
+    /// What it brings is not passed on as news: the one that gave it has long told others. A
+    /// newcomer would otherwise repeat the whole fleet, and its own news would wait behind that.
     pub fn receive_view(&mut self, records: &[record::MemberRecord], now: ids::UnixMillis) {
+        let (news, push_due) = (self.news.clone(), self.push_due);
         for record in records {
             self.learn(record, now);
         }
+        let own = self.own.instance;
+        self.news.retain(|member, _| *member == own || news.contains_key(member));
+        self.push_due = push_due || self.news.len() > news.len();
     }
 
     /// Notes that a member did not answer an exchange; asks others before suspecting.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -16,7 +16,12 @@
 /// this view but not yet removed, draining, or so new that no flow may be looked up there.
 pub const CANDIDATE_DEPTH: usize = 8;
 
-const BUCKETS_PER_HOST: u32 = 64;
+/// Buckets for each host. More would spread anchors a little more evenly, but not flows, whose
+/// owners are chosen by load.
+const BUCKETS_PER_HOST: u32 = 16;
+
+/// The most buckets of one service: what a newcomer fills for ten thousand hosts in two seconds.
+const MOST_BUCKETS: u32 = 65_536;
 
 /// A flow: who sends to which service.
 #[derive(
@@ -54,7 +59,8 @@
 impl BucketTable {
     /// An empty table for a service that will have at most `largest_hosts` hosts.
     pub fn new(largest_hosts: u32) -> BucketTable {
-        let count = (largest_hosts.max(4) * BUCKETS_PER_HOST).next_power_of_two();
+        let wanted = largest_hosts.max(4).saturating_mul(BUCKETS_PER_HOST);
+        let count = wanted.min(MOST_BUCKETS).next_power_of_two();
         BucketTable {
             members: collections::BTreeSet::new(),
             buckets: vec![[NO_MEMBER; CANDIDATE_DEPTH]; count as usize],
--- a/crates/core/tests/membership_merge.rs
+++ b/crates/core/tests/membership_merge.rs
@@ -139,3 +139,18 @@
     prober.tick(now.plus(timing.suspect_ms));
     assert_eq!(state(&prober), membership::LivenessState::Dead);
 }
+
+/// A fleet's news of a newcomer does not wait behind what the newcomer has just fetched.
+/// It takes in a whole view, and then tells of itself alone.
+#[test]
+fn fetched_view() {
+    let timing = membership::ProbeTiming::default();
+    let now = ids::UnixMillis(5_000);
+    let mut newcomer = membership::MemberProber::new(record(1, "b1", 1_000), timing, 1);
+    let others: Vec<_> = (2..200).map(|n| record(n, &format!("b{n}"), 1_000)).collect();
+    newcomer.receive_view(&others, now);
+    assert_eq!(newcomer.view().len(), 199);
+    let message = newcomer.compose(ids::ConfigGeneration(1));
+    let told: Vec<_> = message.news.iter().map(|record| record.instance).collect();
+    assert_eq!(told, [ids::InstanceId(1)]);
+}
