Make choosing, filling and cached lookups cheap at ten thousand hosts

Cause: choosing a worker copied the list of all; filling a table ranked each of a bucket's eight places for every member; a cached flow cost the standard hash and a search in the view's tree. Ruled out: the ticket's seal (118 ns) as the main cost. Change: workers are kept near ones first and drawn from in place; a member that ranks below a bucket's last is done with after one comparison; faster hashes with seeds for each map.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -4,6 +4,7 @@
 //! agent, opaque flows by hashing, with a cache that only saves a hop. Any balancer may therefore
 //! be replaced at any time, and packets of one flow may reach all of them.
 
+use std::collections;
 use std::net;
 use std::sync;
 
@@ -166,6 +167,8 @@
     state: sync::Arc<config::ConfigState>,
     view: sync::Arc<membership::MemberView>,
     routes: routing::RouteTable,
+    /// Where each reachable agent takes packets: the view's answer, found faster for each packet.
+    reachable: collections::HashMap<ids::InstanceId, net::SocketAddr, foldhash::fast::RandomState>,
     board: load::LoadBoard,
     cache: flow_cache::FlowCache,
     rng: rngs::StdRng,
@@ -178,6 +181,7 @@
             state: sync::Arc::default(),
             view: sync::Arc::default(),
             routes: routing::RouteTable::default(),
+            reachable: collections::HashMap::default(),
             board: load::LoadBoard::default(),
             cache: flow_cache::FlowCache::new(config.cached_flows),
             rng: rngs::StdRng::seed_from_u64(config.seed),
@@ -215,8 +219,9 @@
 
     fn update_routes(&mut self) {
         self.routes.update(&self.view, &self.state, &self.config.data_centre);
-        let view = &self.view;
-        self.board.retain(|host| view.get(host).is_some_and(|record| record.is_reachable()));
+        let reachable = self.view.reachable();
+        self.reachable = reachable.map(|r| (r.instance, r.packet_address)).collect();
+        self.board.retain(|host| self.reachable.contains_key(&host));
     }
 
     fn handle_caller(
@@ -373,13 +378,13 @@
         behalf: Option<ids::InstanceId>,
         step: message::ForwardStep,
     ) -> BalancerAction {
-        let record = target.and_then(|target| self.view.get(target));
-        let (Some(record), Some(spec)) = (record, self.state.service(service)) else {
+        let to = target.and_then(|target| self.reachable.get(&target).copied());
+        let (Some(target), Some(to), Some(spec)) = (target, to, self.state.service(service)) else {
             return BalancerAction::Drop(DropReason::NoAgent);
         };
         let packet = message::ForwardPacket {
             head: self.head(),
-            target: record.instance,
+            target,
             behalf,
             via: self.config.instance,
             service,
@@ -390,7 +395,6 @@
             step,
             payload: arrival.datagram.to_vec(),
         };
-        let to = record.packet_address;
         BalancerAction::Send { to, packet: message::PeerPacket::Forward(packet) }
     }
 
@@ -548,7 +552,7 @@
     }
 
     fn is_reachable(&self, host: ids::InstanceId) -> bool {
-        self.view.get(host).is_some_and(|record| record.is_reachable())
+        self.reachable.contains_key(&host)
     }
 
     fn head(&self) -> message::PacketHead {
--- a/crates/core/src/flow_cache.rs
+++ b/crates/core/src/flow_cache.rs
@@ -5,7 +5,6 @@
 //! old and unused goes. That costs no scan and no clock, whatever callers send.
 
 use std::collections;
-use std::hash;
 
 use crate::ids;
 use crate::placement;
@@ -63,7 +62,6 @@
     }
 }
 
-/// Hashes a [`placement::FlowKey`] with seeds drawn for this process.
-///
-/// The seeds keep a caller from choosing addresses that meet in one place of the map.
-type FlowHashBuilder = hash::RandomState;
+/// Hashes with seeds drawn for each map, so that no caller can choose addresses that meet in one
+/// place; faster than the standard hash, which matters at a lookup for each packet.
+type FlowHashBuilder = foldhash::fast::RandomState;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -125,6 +125,11 @@
 ) {
     let rank = |candidate: ids::InstanceId| ids::mix_words(candidate.0, index as u64 + 1);
     let score = rank(member);
+    let last = bucket[CANDIDATE_DEPTH - 1];
+    // Of many members nearly all rank below a full bucket's last, and are done with here.
+    if last != NO_MEMBER && rank(last) >= score {
+        return;
+    }
     let place = bucket.iter().position(|held| *held == NO_MEMBER || rank(*held) < score);
     let Some(place) = place else { return };
     bucket[place..].rotate_right(1);
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -34,7 +34,9 @@
 struct ServiceRoutes {
     table: placement::BucketTable,
     largest_hosts: u32,
+    /// The near ones first.
     workers: Vec<RouteWorker>,
+    near_count: usize,
 }
 
 /// An agent that takes new work.
@@ -74,12 +76,18 @@
             let largest = state.service(service).map_or(1, |spec| spec.rules.largest_hosts);
             let routes = self.services.entry(service).or_default();
             routes.set_hosts(largest, &hosts);
-            routes.workers = workers.remove(&service).unwrap_or_default();
+            routes.set_workers(workers.remove(&service).unwrap_or_default());
         }
     }
 }
 
 impl ServiceRoutes {
+    fn set_workers(&mut self, mut workers: Vec<RouteWorker>) {
+        workers.sort_by_key(|worker| !worker.is_near);
+        self.near_count = workers.iter().filter(|worker| worker.is_near).count();
+        self.workers = workers;
+    }
+
     fn set_hosts(&mut self, largest: u32, hosts: &collections::BTreeSet<ids::InstanceId>) {
         if self.largest_hosts != largest {
             self.largest_hosts = largest;
@@ -156,28 +164,58 @@
         now: ids::UnixMillis,
         mut draw: impl FnMut(usize) -> usize,
     ) -> Option<ids::InstanceId> {
-        let workers = self.workers(spec.id());
-        let allowed = |worker: &&RouteWorker| !excluded.contains(&worker.host);
-        let settled = |worker: &&RouteWorker| now.since(worker.started) >= SETTLE_MS;
-        let mut pool: Vec<_> = workers.iter().filter(allowed).filter(settled).collect();
-        if pool.is_empty() {
-            pool = workers.iter().filter(allowed).collect();
-        }
-        let (mut near, mut far): (Vec<&RouteWorker>, Vec<&RouteWorker>) =
-            pool.into_iter().partition(|w| w.is_near);
+        let routes = self.services.get(&spec.id())?;
+        let (near, far) = routes.workers.split_at(routes.near_count);
+        let allowed = |worker: &RouteWorker| !excluded.contains(&worker.host);
+        let settled = |worker: &RouteWorker| now.since(worker.started) >= SETTLE_MS;
         let mut drawn = Vec::with_capacity(WORKERS_DRAWN);
-        for (pool, count) in [(&mut near, NEAR_DRAWN), (&mut far, WORKERS_DRAWN)] {
-            let count = count.min(WORKERS_DRAWN - drawn.len());
-            for _ in 0..count.min(pool.len()) {
-                let worker = pool.swap_remove(draw(pool.len()));
-                let (host, started, is_near) = (worker.host, worker.started, worker.is_near);
-                drawn.push(load::WorkCandidate { host, started, is_near });
-            }
+        for (pool, most) in [(near, NEAR_DRAWN), (far, WORKERS_DRAWN)] {
+            draw_some(pool, most, &mut drawn, &mut draw, |w| allowed(w) && settled(w));
+        }
+        if drawn.is_empty() {
+            // Only excluded or very new ones are left, or the draws were unlucky.
+            let rest = routes.workers.iter().filter(|worker| allowed(worker));
+            drawn.extend(rest.take(WORKERS_DRAWN));
         }
+        let drawn: Vec<_> = drawn
+            .into_iter()
+            .map(|worker| load::WorkCandidate {
+                host: worker.host,
+                started: worker.started,
+                is_near: worker.is_near,
+            })
+            .collect();
         load::choose(&drawn, board, load::LoadKind::Requests, spec, now)
     }
 }
 
+/// Draws distinct workers from a pool until `drawn` has room for no more or `most` were drawn.
+///
+/// The number of draws is bounded, so that the cost does not grow with the pool.
+fn draw_some<'a>(
+    pool: &'a [RouteWorker],
+    most: usize,
+    drawn: &mut Vec<&'a RouteWorker>,
+    draw: &mut impl FnMut(usize) -> usize,
+    accept: impl Fn(&RouteWorker) -> bool,
+) {
+    let mut left = most.min(WORKERS_DRAWN - drawn.len());
+    for _ in 0..DRAW_LIMIT {
+        if left == 0 || pool.is_empty() {
+            return;
+        }
+        let worker = &pool[draw(pool.len())];
+        let is_new = !drawn.iter().any(|held| held.host == worker.host);
+        if is_new && accept(worker) {
+            drawn.push(worker);
+            left -= 1;
+        }
+    }
+}
+
+/// How often a pool is drawn from for one choice.
+const DRAW_LIMIT: usize = 12;
+
 const NEAR_DRAWN: usize = 2;
 const WORKERS_DRAWN: usize = 3;
 
--- a/crates/standins/src/bench/control.rs
+++ b/crates/standins/src/bench/control.rs
@@ -106,7 +106,9 @@
         self.places.insert(record.instance, member);
         let timing =
             membership::ProbeTiming { period_ms: PERIOD_MS, ..membership::ProbeTiming::default() };
-        membership::MemberProber::new(record, timing, self.seed + self.next_instance)
+        // Each member draws for itself; with one seed all would call the same peer at once.
+        let seed = ids::mix_words(self.seed, record.instance.0);
+        membership::MemberProber::new(record, timing, seed)
     }
 
     fn fresh_record(&mut self, member: usize) -> membership::MemberRecord {
--- a/crates/standins/src/bench/decide.rs
+++ b/crates/standins/src/bench/decide.rs
@@ -1,5 +1,6 @@
 //! Nanoseconds and bytes of single decisions, at growing sizes.
 
+use std::collections;
 use std::hint;
 use std::time;
 
@@ -139,13 +140,16 @@
 
     fn cached_flow(&self) -> String {
         let mut cache = flow_cache::FlowCache::new(2 * self.flow_count);
+        let owners: Vec<_> = self.view.reachable().map(|record| record.instance).collect();
         for caller in 0..self.flow_count {
-            cache.insert(flow(caller), ids::InstanceId(caller as u64));
+            cache.insert(flow(caller), owners[caller % owners.len()]);
         }
+        let reachable: collections::HashMap<_, _, foldhash::fast::RandomState> =
+            self.view.reachable().map(|record| (record.instance, record.packet_address)).collect();
         per_round(|round| {
             let caller = (round as usize * 7_919) % self.flow_count;
             let owner = cache.touch(&flow(caller));
-            owner.and_then(|owner| self.view.get(owner)).is_some()
+            owner.and_then(|owner| reachable.get(&owner))
         })
     }
 
