--- a/crates/core/src/agent/requests.rs
+++ b/crates/core/src/agent/requests.rs
@@ -639,8 +639,8 @@
         let start = wanted.offset().min(whole.body.len());
         let end = (start + wanted.size as usize).min(whole.body.len());
         let in_blocks = whole.body.len() > wanted.size as usize;
-        if in_blocks && wanted.number == 0 {
-            self.bodies.keep(target.body_key(self.config.service), whole, now);
+        if in_blocks {
+            self.keep_body(&target, whole, wanted, now);
         }
         let block = message::BodyBlock { more: end < whole.body.len(), ..wanted };
         let answer = message::AgentAnswer::Body {
@@ -652,6 +652,24 @@
         self.push_answer(&target, answer, ticket, actions);
     }
 
+    /// Keeps a large answer from its first block on, and notes which block is being fetched.
+    ///
+    /// A drain waits for the last one. Answers of recorded requests come from the record, so the
+    /// fetching of those has to be noted here as well.
+    fn keep_body(
+        &mut self,
+        target: &AnswerTarget,
+        whole: &sync::Arc<message::WholeAnswer>,
+        wanted: message::BodyBlock,
+        now: ids::UnixMillis,
+    ) {
+        let key = target.body_key(self.config.service);
+        match wanted.number {
+            0 => self.bodies.keep(key, whole, now),
+            _ => drop(self.bodies.fetch(&key, wanted, now)),
+        }
+    }
+
     fn answer_block_taken(
         &mut self,
         target: &AnswerTarget,
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -3,16 +3,19 @@
 //! Retries help while few requests fail. While most fail they multiply the load on what is already
 //! overloaded, so the budget dries up exactly then.
 
-/// What a budget may hold at the most, in retries.
-const MOST_CREDIT: f64 = 20.0;
+/// What one retry costs, in the hundredths that successes earn.
+const RETRY_COST: u32 = 100;
 
-/// What a fresh budget holds, so that the first failure after a start may be retried.
-const FIRST_CREDIT: f64 = 3.0;
+/// What a budget may hold at the most: twenty retries.
+const MOST_CREDIT: u32 = 20 * RETRY_COST;
+
+/// What a fresh budget holds, so that the first failures after a start may be retried.
+const FIRST_CREDIT: u32 = 3 * RETRY_COST;
 
 /// A budget for retries.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    credit: f64,
+    credit: u32,
 }
 
 impl Default for RetryBudget {
@@ -24,14 +27,14 @@
 impl RetryBudget {
     /// Counts a success, which earns `percent` hundredths of a retry.
     pub fn earn(&mut self, percent: u32) {
-        self.credit = (self.credit + f64::from(percent) / 100.0).min(MOST_CREDIT);
+        self.credit = self.credit.saturating_add(percent).min(MOST_CREDIT);
     }
 
     /// Takes one retry out of the budget, if there is one.
     pub fn spend(&mut self) -> bool {
-        let has_credit = self.credit >= 1.0;
+        let has_credit = self.credit >= RETRY_COST;
         if has_credit {
-            self.credit -= 1.0;
+            self.credit -= RETRY_COST;
         }
         has_credit
     }
--- /dev/null
+++ b/crates/core/tests/agent_drain.rs
@@ -0,0 +1,119 @@
+//! What a draining agent still takes, and what holds it up.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
+
+mod world;
+
+use rosemaryusher_core::agent;
+use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::message;
+use rosemaryusher_core::ticket;
+
+use world::Parcel;
+use world::World;
+
+const HOST: usize = 0;
+
+fn upload(world: &World, tag: u64, number: u32, more: bool) -> message::CallerRequest {
+    let ticket = ticket::RequestTicket {
+        home: world.agents[HOST].control.prober.own().instance,
+        service: ids::ServiceId::of_name("wallet-api"),
+        issued_s: world.now.as_secs() as u32,
+        lineage: 7,
+    };
+    message::CallerRequest {
+        method: message::RequestMethod::Post,
+        path: "/statements".to_owned(),
+        payload: vec![b'a' + number as u8; 16],
+        tag,
+        exchange: message::ExchangeId { token: vec![0; 8], ..message::ExchangeId::default() },
+        ticket: world.agents[HOST].control.state.keys().seal(&ticket, world.now),
+        upload: Some(message::BodyBlock { number, more, size: 16 }),
+        wanted: None,
+    }
+}
+
+fn last_refusal(world: &World) -> Option<message::RefusalKind> {
+    world.bag.iter().rev().find_map(|parcel| match parcel {
+        Parcel::Packet(_, message::PeerPacket::Refuse(refuse)) => Some(refuse.kind),
+        _ => None,
+    })
+}
+
+/// The caller's bundle arrives whole, and another caller's is sent elsewhere.
+/// The agent is told to drain between two blocks of the first one's body. It must take the rest,
+/// or a planned shutdown would cut a request in progress; and it must begin no other.
+#[test]
+fn upload_goes_on() {
+    let mut world = World::settled(1, 2);
+    world.add_callers(1);
+    let first = upload(&world, 1, 0, true);
+    world.hand_request(HOST, None, first);
+    world.drain(HOST);
+    assert!(!world.agents[HOST].engine.backlog(world.now).is_idle());
+    let other = upload(&world, 2, 0, true);
+    world.hand_request(HOST, None, other);
+    assert_eq!(last_refusal(&world), Some(message::RefusalKind::NeedTicket));
+    let last = upload(&world, 1, 1, false);
+    world.agents[HOST].begun_before_drain.insert(last.path.clone());
+    world.hand_request(HOST, None, last);
+    let (_, whole) = &world.agents[HOST].running[0];
+    assert_eq!(whole.payload, [[b'a'; 16], [b'b'; 16]].concat());
+}
+
+/// The caller fetches the whole bundle from an agent that drains.
+/// The run has ended, but only the first block of its answer has been fetched; the agent must not
+/// call itself idle before the last one has.
+#[test]
+fn answer_fetched() {
+    let mut world = World::settled(1, 2);
+    world.add_callers(1);
+    let mut request = upload(&world, 3, 0, false);
+    request.upload = None;
+    world.hand_request(HOST, None, request.clone());
+    world.drain(HOST);
+    let (run, _) = world.agents[HOST].running[0].clone();
+    let whole = message::WholeAnswer { status: 200, body: vec![b'x'; 2_500] };
+    let outcome = agent::RunOutcome::Answered(whole);
+    world.handle_agent(HOST, agent::AgentEvent::RunEnded { run, outcome });
+    assert!(!world.agents[HOST].engine.backlog(world.now).is_idle());
+    for number in [2, 1] {
+        request.wanted = Some(message::BodyBlock { number, more: false, size: 1_024 });
+        world.hand_request(HOST, None, request.clone());
+    }
+    assert!(world.agents[HOST].engine.backlog(world.now).is_idle());
+    let lengths: Vec<_> = world
+        .answers
+        .iter()
+        .filter_map(|(answer, _)| match answer {
+            // The world puts the token's eight bytes in front.
+            message::AgentAnswer::Body { payload, block, .. } => {
+                Some((block.map(|block| block.number), payload.len() - 8))
+            }
+            message::AgentAnswer::Continue { .. } => None,
+        })
+        .collect();
+    assert_eq!(lengths, [(Some(0), 1_024), (Some(2), 452), (Some(1), 1_024)]);
+}
+
+/// The caller of the wallet never reaches the preview service's host.
+/// The address was given to another service; a balancer that has not heard sends a datagram for
+/// it to an agent of the service that had it before.
+#[test]
+fn moved_address() {
+    let mut world = World::settled(1, 2);
+    world.add_callers(1);
+    let mut delta = world.platform.clone();
+    delta.generation = ids::ConfigGeneration(2);
+    let (old, new) = (world::request_address(0), "10.9.9.9:5683".parse().unwrap());
+    delta.changed[0].1.requests = Some(new);
+    delta.changed[1].1.requests = Some(old);
+    let mut state = config::ConfigState::default();
+    state.advance(&delta);
+    world.handle_agent(HOST, agent::AgentEvent::Config(std::sync::Arc::new(state)));
+    let mut request = upload(&world, 4, 0, false);
+    request.upload = None;
+    world.hand_request(HOST, None, request);
+    assert!(world.agents[HOST].running.is_empty());
+}
--- a/crates/core/tests/request_once.rs
+++ b/crates/core/tests/request_once.rs
@@ -304,24 +304,7 @@
     world.handle_agent(successor, part);
     let (_, datagram) = world.book.callers[0].waiting.clone().expect("caller 0 waits");
     let request = world.datagrams[datagram].clone();
-    let target = world.agents[successor].control.prober.own().instance;
-    let via = world.balancers[0].control.prober.own().instance;
-    let packet = message::ForwardPacket {
-        head: message::PacketHead { from: via, load: None, generation: ids::ConfigGeneration(1) },
-        target,
-        behalf: Some(home),
-        via,
-        service: ids::ServiceId::of_name("wallet-api"),
-        address: world::request_address(0),
-        caller: world::caller_address(0),
-        expires: world.now.plus(5_000),
-        hops: 0,
-        step: message::ForwardStep::Request { tried: Vec::new() },
-        payload: Vec::new(),
-    };
-    let packet = Box::new(message::PeerPacket::Forward(packet));
-    let request = Some(Box::new(request));
-    world.handle_agent(successor, agent::AgentEvent::Peer { packet, request });
+    world.hand_request(successor, Some(home), request);
     assert_eq!(refusal_in(&mut world), Some(message::RefusalKind::OutcomeUnknown));
 }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -260,6 +260,36 @@
         })
     }
 
+    /// Hands a request of caller 0 straight to an agent, as if the first balancer had sent it.
+    pub fn hand_request(
+        &mut self,
+        host: usize,
+        behalf: Option<ids::InstanceId>,
+        request: message::CallerRequest,
+    ) {
+        let via = self.balancers[0].control.prober.own().instance;
+        let packet = message::ForwardPacket {
+            head: message::PacketHead {
+                from: via,
+                load: None,
+                generation: ids::ConfigGeneration(1),
+            },
+            target: self.agents[host].control.prober.own().instance,
+            behalf,
+            via,
+            service: ids::ServiceId::of_name(SERVICES[0]),
+            address: request_address(0),
+            caller: caller_address(0),
+            expires: self.now.plus(5_000),
+            hops: 0,
+            step: message::ForwardStep::Request { tried: Vec::new() },
+            payload: Vec::new(),
+        };
+        let packet = Box::new(message::PeerPacket::Forward(packet));
+        let request = Some(Box::new(request));
+        self.handle_agent(host, agent::AgentEvent::Peer { packet, request });
+    }
+
     /// Has two processes exchange, whoever else has heard of what they tell.
     pub fn meet(&mut self, from: usize, to: usize) {
         self.exchange(from, to);
