Split what had grown large; share what stood twice

Cause: a reading of the tree: 798 lines of requests, daemons that built the same record, a bench with its baselines in one file. Change: answers and bodies, difference, identity and plain_hosts are modules of their own. No behaviour changes.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The agent's threads, and how it shuts down.
 
-use std::net;
 use std::thread;
 use std::time;
 
@@ -12,6 +11,7 @@
 use rosemaryusher_core::membership;
 use rosemaryusher_node::clock;
 use rosemaryusher_node::control;
+use rosemaryusher_node::identity;
 use rosemaryusher_node::logs;
 use rosemaryusher_node::meters;
 use rosemaryusher_node::rings;
@@ -55,7 +55,8 @@
         },
         seed: rand::rng().next_u64(),
     });
-    let own = own_record(&settings, instance, service, packet_address, &clock);
+    let role = membership::MemberRole::Agent(service);
+    let own = identity::own_record(&settings.node, instance, role, packet_address, &clock);
 
     let (inputs, input_ends) = rings::ring();
     let (packet_outputs, packet_ends) = rings::ring();
@@ -106,7 +107,7 @@
 ) -> eyre::Result<()> {
     log::info!("draining");
     inputs.send(decide::AgentInput::Event(agent::AgentEvent::Drain)).await?;
-    set_phase(commands, membership::MemberPhase::Draining).await?;
+    identity::set_phase(commands, membership::MemberPhase::Draining).await?;
     let limit = settings.drain.limit_s.map(time::Duration::from_secs);
     let began = time::Instant::now();
     let mut told = None;
@@ -116,12 +117,13 @@
         match export.recv().await? {
             decide::AgentExport::Ready { records, successors } => {
                 let successor = hand_over(commands, records, successors).await?;
-                set_phase(commands, membership::MemberPhase::Left { successor }).await?;
+                identity::set_phase(commands, membership::MemberPhase::Left { successor }).await?;
                 break;
             }
             decide::AgentExport::Busy(backlog) if limit.is_some_and(|l| began.elapsed() > l) => {
                 log::warn!("the drain's limit has passed; cut off: {backlog:?}");
-                set_phase(commands, membership::MemberPhase::Left { successor: None }).await?;
+                identity::set_phase(commands, membership::MemberPhase::Left { successor: None })
+                    .await?;
                 break;
             }
             decide::AgentExport::Busy(backlog) if told != Some(backlog) => {
@@ -172,38 +174,6 @@
     }
 }
 
-async fn set_phase(
-    commands: &channel::Sender<control::ControlCommand>,
-    phase: membership::MemberPhase,
-) -> eyre::Result<()> {
-    let (done, told) = channel::bounded(1);
-    commands.send(control::ControlCommand::SetPhase(phase, done)).await?;
-    Ok(told.recv().await?)
-}
-
-fn own_record(
-    settings: &settings::AgentSettings,
-    instance: ids::InstanceId,
-    service: ids::ServiceId,
-    packet_address: net::SocketAddr,
-    clock: &clock::ProcessClock,
-) -> membership::MemberRecord {
-    membership::MemberRecord {
-        instance,
-        name: settings.node.name.clone(),
-        started: clock.started(),
-        role: membership::MemberRole::Agent(service),
-        data_centre: settings.node.data_centre.clone(),
-        packet_address,
-        control_address: settings.node.control_address,
-        phase: membership::MemberPhase::Serving,
-        liveness: membership::MemberLiveness {
-            version: 0,
-            state: membership::LivenessState::Alive,
-        },
-    }
-}
-
 fn relay(
     outputs: &channel::Receiver<control::ControlOutput>,
     inputs: &channel::Sender<decide::AgentInput>,
--- a/crates/balancer/src/daemon.rs
+++ b/crates/balancer/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The balancer's threads, and how it shuts down.
 
-use std::net;
 use std::sync;
 use std::time;
 
@@ -11,6 +10,7 @@
 use rosemaryusher_core::membership;
 use rosemaryusher_node::clock;
 use rosemaryusher_node::control;
+use rosemaryusher_node::identity;
 use rosemaryusher_node::logs;
 use rosemaryusher_node::meters;
 use rosemaryusher_node::rings;
@@ -50,8 +50,10 @@
     let (commands, command_ends) = channel::bounded(16);
     let (started, started_end) = channel::bounded(1);
 
+    let role = membership::MemberRole::Balancer;
+    let own = identity::own_record(&settings.node, instance, role, packet_address, &clock);
     let parts = control::ControlParts {
-        own: own_record(&settings, instance, packet_address, &clock),
+        own,
         settings: settings.node.clone(),
         clock,
         metrics,
@@ -114,7 +116,7 @@
     commands: &channel::Sender<control::ControlCommand>,
 ) -> eyre::Result<()> {
     log::info!("draining");
-    set_phase(commands, membership::MemberPhase::Draining).await?;
+    identity::set_phase(commands, membership::MemberPhase::Draining).await?;
     let began = time::Instant::now();
     let quiet = time::Duration::from_millis(settings.drain.quiet_ms);
     let limit = time::Duration::from_secs(settings.drain.limit_s);
@@ -127,38 +129,7 @@
         }
         seen = arrivals;
     }
-    set_phase(commands, membership::MemberPhase::Left { successor: None }).await?;
+    identity::set_phase(commands, membership::MemberPhase::Left { successor: None }).await?;
     log::info!("left");
     Ok(())
 }
-
-async fn set_phase(
-    commands: &channel::Sender<control::ControlCommand>,
-    phase: membership::MemberPhase,
-) -> eyre::Result<()> {
-    let (done, told) = channel::bounded(1);
-    commands.send(control::ControlCommand::SetPhase(phase, done)).await?;
-    Ok(told.recv().await?)
-}
-
-fn own_record(
-    settings: &settings::BalancerSettings,
-    instance: ids::InstanceId,
-    packet_address: net::SocketAddr,
-    clock: &clock::ProcessClock,
-) -> membership::MemberRecord {
-    membership::MemberRecord {
-        instance,
-        name: settings.node.name.clone(),
-        started: clock.started(),
-        role: membership::MemberRole::Balancer,
-        data_centre: settings.node.data_centre.clone(),
-        packet_address,
-        control_address: settings.node.control_address,
-        phase: membership::MemberPhase::Serving,
-        liveness: membership::MemberLiveness {
-            version: 0,
-            state: membership::LivenessState::Alive,
-        },
-    }
-}
--- /dev/null
+++ b/crates/core/src/agent/answers.rs
@@ -0,0 +1,209 @@
+//! What callers are told: answers, whole or in blocks, refusals, and tickets for the next request.
+
+use std::net;
+use std::sync;
+
+use rand::Rng as _;
+
+use crate::agent;
+use crate::agent::bodies;
+use crate::agent::requests;
+use crate::balancer;
+use crate::ids;
+use crate::message;
+use crate::ticket;
+
+/// The size of a block where the caller names none, in bytes.
+const DEFAULT_BLOCK: u32 = 1_024;
+
+/// A fresh ticket is offered once a ticket has used up this share of its life.
+const REFRESH_SHARE: u64 = 4;
+
+/// Who is to get an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerTarget {
+    pub(super) via: ids::InstanceId,
+    pub(super) address: net::SocketAddr,
+    pub(super) caller: net::SocketAddr,
+    pub(super) exchange: message::ExchangeId,
+    pub(super) wanted: Option<message::BodyBlock>,
+    pub(super) ticket: Option<ticket::RequestTicket>,
+    pub(super) behalf: Option<ids::InstanceId>,
+    pub(super) path: String,
+}
+
+impl AnswerTarget {
+    pub(super) fn new(
+        packet: &message::ForwardPacket,
+        request: &message::CallerRequest,
+        ticket: Option<ticket::RequestTicket>,
+    ) -> AnswerTarget {
+        AnswerTarget {
+            via: packet.via,
+            address: packet.address,
+            caller: packet.caller,
+            exchange: request.exchange.clone(),
+            wanted: request.wanted,
+            ticket,
+            behalf: packet.behalf,
+            path: request.path.clone(),
+        }
+    }
+
+    /// Names the conversation that a large answer is kept for.
+    fn body_key(&self, service: ids::ServiceId) -> bodies::BodyKey {
+        let flow = crate::placement::FlowKey { service, caller: self.caller };
+        let conversation = self.ticket.map_or_else(|| flow.hash_word(), |ticket| ticket.lineage);
+        bodies::BodyKey { conversation, path: self.path.clone() }
+    }
+}
+
+impl agent::AgentEngine {
+    pub(super) fn fetch_body(
+        &mut self,
+        target: &AnswerTarget,
+        now: ids::UnixMillis,
+    ) -> Option<sync::Arc<message::WholeAnswer>> {
+        let block = target.wanted.filter(|block| block.number > 0)?;
+        self.bodies.fetch(&target.body_key(self.config.service), block, now)
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        target: &AnswerTarget,
+        whole: &sync::Arc<message::WholeAnswer>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let mut target = target.clone();
+        let ticket = self.ticket_for_answer(&mut target, now);
+        let wanted = target.wanted.unwrap_or(message::BodyBlock {
+            number: 0,
+            more: false,
+            size: DEFAULT_BLOCK,
+        });
+        let start = wanted.offset().min(whole.body.len());
+        let end = (start + wanted.size as usize).min(whole.body.len());
+        let in_blocks = whole.body.len() > wanted.size as usize;
+        if in_blocks {
+            self.keep_body(&target, whole, wanted, now);
+        }
+        let block = message::BodyBlock { more: end < whole.body.len(), ..wanted };
+        let answer = message::AgentAnswer::Body {
+            status: whole.status,
+            payload: whole.body[start..end].to_vec(),
+            block: in_blocks.then_some(block),
+            body_tag: whole.body_tag(),
+        };
+        self.push_answer(&target, answer, ticket, actions);
+    }
+
+    /// Keeps a large answer from its first block on, and notes which block is being fetched.
+    ///
+    /// A drain waits for the last one. Answers of recorded requests come from the record, so the
+    /// fetching of those has to be noted here as well.
+    fn keep_body(
+        &mut self,
+        target: &AnswerTarget,
+        whole: &sync::Arc<message::WholeAnswer>,
+        wanted: message::BodyBlock,
+        now: ids::UnixMillis,
+    ) {
+        let key = target.body_key(self.config.service);
+        match wanted.number {
+            0 => self.bodies.keep(key, whole, now),
+            _ => drop(self.bodies.fetch(&key, wanted, now)),
+        }
+    }
+
+    pub(super) fn answer_block_taken(
+        &mut self,
+        target: &AnswerTarget,
+        block: message::BodyBlock,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let answer = message::AgentAnswer::Continue { block };
+        self.push_answer(target, answer, None, actions);
+    }
+
+    fn push_answer(
+        &mut self,
+        target: &AnswerTarget,
+        answer: message::AgentAnswer,
+        ticket: Option<Vec<u8>>,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(to) = self.answer_address(target.via) else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
+        };
+        let reply = message::ReplyPacket {
+            head: self.head(),
+            service: self.config.service,
+            address: target.address,
+            caller: target.caller,
+            payload: Vec::new(),
+        };
+        let exchange = target.exchange.clone();
+        actions.push(agent::AgentAction::Answer { to, reply, exchange, answer, ticket });
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        target: &AnswerTarget,
+        kind: message::RefusalKind,
+        actions: &mut Vec<agent::AgentAction>,
+    ) {
+        let Some(to) = self.answer_address(target.via) else {
+            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
+        };
+        let refuse = message::RefusePacket {
+            head: self.head(),
+            service: self.config.service,
+            address: target.address,
+            caller: target.caller,
+            exchange: target.exchange.clone(),
+            kind,
+            behalf: target.behalf,
+        };
+        actions.push(agent::AgentAction::Send { to, packet: message::PeerPacket::Refuse(refuse) });
+    }
+
+    /// The ticket that an answer carries for the caller's next request, if any.
+    ///
+    /// A ticket that names this run is renewed within its lineage, so that a caller that repeats a
+    /// request under the newer ticket still meets the record of the first. Only the home itself
+    /// may renew: it alone knows how long it then has to remember.
+    fn ticket_for_answer(
+        &mut self,
+        target: &mut AnswerTarget,
+        now: ids::UnixMillis,
+    ) -> Option<Vec<u8>> {
+        let is_busy = self.gate.waiting() >= self.gate.slots();
+        if self.draining || is_busy || self.failures >= requests::FAILURES_IN_A_ROW {
+            return None;
+        }
+        let issued_s = now.as_secs() as u32;
+        let fresh = match target.ticket {
+            None => ticket::RequestTicket {
+                home: self.config.instance,
+                service: self.config.service,
+                issued_s,
+                lineage: self.rng.next_u64(),
+            },
+            Some(held) if held.home != self.config.instance => return None,
+            Some(held) => {
+                let left_ms = held.expires().since(now);
+                let is_young = left_ms
+                    > ticket::TICKET_LIFETIME_MS - ticket::TICKET_LIFETIME_MS / REFRESH_SHARE;
+                if is_young || !self.ledger.may_extend(held.lineage, now) {
+                    return None;
+                }
+                self.ledger.extend_lineage(held.lineage, issued_s, now);
+                ticket::RequestTicket { issued_s, ..held }
+            }
+        };
+        let sealed = self.state.keys().seal(&fresh, now)?;
+        target.ticket = Some(fresh);
+        Some(sealed)
+    }
+}
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -3,12 +3,16 @@
 //! | module | decides |
 //! |---|---|
 //! | `requests` | which requests run, wait, are repeated, refused or passed on |
+//! | `answers` | what callers are told, and the ticket that goes with it |
+//! | `bodies` | how long large answers are kept for their callers |
 //! | `flows` | who owns a flow, and where its datagrams go |
 //! | `handover` | what a successor answers for |
 //!
 //! The rule the rest hangs on: a non-idempotent request runs only at the run that its ticket
 //! names, and that run remembers it for as long as the ticket lives.
 
+mod answers;
+mod bodies;
 mod flows;
 mod handover;
 mod requests;
@@ -212,7 +216,7 @@
     ledger: ledger::RequestLedger,
     adopted: collections::HashMap<ids::InstanceId, handover::AdoptedRecord>,
     uploads: uploads::UploadTable,
-    bodies: requests::BodyStore,
+    bodies: bodies::BodyStore,
     runs: collections::HashMap<admission::RunId, requests::ActiveRun>,
     next_run: u64,
     budget: retry::RetryBudget,
@@ -239,7 +243,7 @@
             ledger: ledger::RequestLedger::new(config.ledger),
             adopted: collections::HashMap::new(),
             uploads: uploads::UploadTable::default(),
-            bodies: requests::BodyStore::default(),
+            bodies: bodies::BodyStore::default(),
             runs: collections::HashMap::new(),
             next_run: 0,
             budget: retry::RetryBudget::default(),
--- a/crates/core/src/agent/requests.rs
+++ b/crates/core/src/agent/requests.rs
@@ -1,7 +1,5 @@
 //! Which requests run, wait, are repeated, refused or passed on.
 
-use std::collections;
-use std::net;
 use std::sync;
 
 use rand::Rng as _;
@@ -9,6 +7,7 @@
 
 use crate::admission;
 use crate::agent;
+use crate::agent::answers;
 use crate::agent::handover;
 use crate::balancer;
 use crate::ids;
@@ -26,67 +25,13 @@
 /// How many agents one idempotent request is tried at.
 const ATTEMPT_LIMIT: usize = 3;
 
-/// The size of a block where the caller names none, in bytes.
-const DEFAULT_BLOCK: u32 = 1_024;
-
-/// How long a large answer is kept for its caller to fetch, in milliseconds.
-const BODY_KEEP_MS: u64 = 60_000;
-
-/// How long a caller that stops fetching counts as still at it, in milliseconds.
-const BODY_STALL_MS: u64 = 10_000;
-
-/// How many bytes of large answers are kept.
-const BODY_BYTES_LIMIT: usize = 64 << 20;
-
-/// A fresh ticket is offered once a ticket has used up this share of its life.
-const REFRESH_SHARE: u64 = 4;
-
-/// Who is to get an answer.
-#[derive(Clone, Debug)]
-pub(crate) struct AnswerTarget {
-    via: ids::InstanceId,
-    address: net::SocketAddr,
-    caller: net::SocketAddr,
-    exchange: message::ExchangeId,
-    wanted: Option<message::BodyBlock>,
-    ticket: Option<ticket::RequestTicket>,
-    behalf: Option<ids::InstanceId>,
-    path: String,
-}
-
-impl AnswerTarget {
-    fn new(
-        packet: &message::ForwardPacket,
-        request: &message::CallerRequest,
-        ticket: Option<ticket::RequestTicket>,
-    ) -> AnswerTarget {
-        AnswerTarget {
-            via: packet.via,
-            address: packet.address,
-            caller: packet.caller,
-            exchange: request.exchange.clone(),
-            wanted: request.wanted,
-            ticket,
-            behalf: packet.behalf,
-            path: request.path.clone(),
-        }
-    }
-
-    /// Names the conversation that a large answer is kept for.
-    fn body_key(&self, service: ids::ServiceId) -> BodyKey {
-        let flow = crate::placement::FlowKey { service, caller: self.caller };
-        let conversation = self.ticket.map_or_else(|| flow.hash_word(), |ticket| ticket.lineage);
-        BodyKey { conversation, path: self.path.clone() }
-    }
-}
-
 /// A request that runs or waits.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRun {
     request: message::CallerRequest,
     packet: message::ForwardPacket,
     recorded: Option<RecordedKey>,
-    targets: Vec<AnswerTarget>,
+    targets: Vec<answers::AnswerTarget>,
     deadline: ids::UnixMillis,
     started: Option<ids::UnixMillis>,
 }
@@ -97,67 +42,6 @@
     issued_s: u32,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct BodyKey {
-    conversation: u64,
-    path: String,
-}
-
-/// Large answers, kept for their callers to fetch block by block.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct BodyStore {
-    bodies: collections::HashMap<BodyKey, KeptBody>,
-    bytes: usize,
-}
-
-#[derive(Clone, Debug)]
-struct KeptBody {
-    answer: sync::Arc<message::WholeAnswer>,
-    touched: ids::UnixMillis,
-    is_fetched: bool,
-}
-
-impl BodyStore {
-    fn keep(
-        &mut self,
-        key: BodyKey,
-        answer: &sync::Arc<message::WholeAnswer>,
-        now: ids::UnixMillis,
-    ) {
-        if self.bytes + answer.body.len() > BODY_BYTES_LIMIT {
-            return;
-        }
-        self.bytes += answer.body.len();
-        let kept = KeptBody { answer: answer.clone(), touched: now, is_fetched: false };
-        if let Some(earlier) = self.bodies.insert(key, kept) {
-            self.bytes -= earlier.answer.body.len();
-        }
-    }
-
-    fn fetch(
-        &mut self,
-        key: &BodyKey,
-        block: message::BodyBlock,
-        now: ids::UnixMillis,
-    ) -> Option<sync::Arc<message::WholeAnswer>> {
-        let kept = self.bodies.get_mut(key)?;
-        kept.touched = now;
-        kept.is_fetched |= block.offset() + block.size as usize >= kept.answer.body.len();
-        Some(kept.answer.clone())
-    }
-
-    pub(crate) fn sweep(&mut self, now: ids::UnixMillis) {
-        self.bodies.retain(|_, kept| now.since(kept.touched) < BODY_KEEP_MS);
-        self.bytes = self.bodies.values().map(|kept| kept.answer.body.len()).sum();
-    }
-
-    /// How many callers are still fetching.
-    pub(crate) fn unfetched(&self, now: ids::UnixMillis) -> usize {
-        let at_it = |kept: &&KeptBody| !kept.is_fetched && now.since(kept.touched) < BODY_STALL_MS;
-        self.bodies.values().filter(at_it).count()
-    }
-}
-
 /// Whether a request is the one that an entry records, or a block of it.
 pub(crate) fn is_same_request(
     entry: &ledger::LedgerEntry,
@@ -407,7 +291,7 @@
     }
 
     /// Has a repeated request answered together with the one that is running.
-    fn join_run(&mut self, key: ledger::RequestKey, target: AnswerTarget) {
+    fn join_run(&mut self, key: ledger::RequestKey, target: answers::AnswerTarget) {
         let same =
             |active: &&mut ActiveRun| active.recorded.is_some_and(|recorded| recorded.key == key);
         let Some(active) = self.runs.values_mut().find(same) else { return };
@@ -613,154 +497,6 @@
         true
     }
 
-    fn fetch_body(
-        &mut self,
-        target: &AnswerTarget,
-        now: ids::UnixMillis,
-    ) -> Option<sync::Arc<message::WholeAnswer>> {
-        let block = target.wanted.filter(|block| block.number > 0)?;
-        self.bodies.fetch(&target.body_key(self.config.service), block, now)
-    }
-
-    fn answer(
-        &mut self,
-        target: &AnswerTarget,
-        whole: &sync::Arc<message::WholeAnswer>,
-        now: ids::UnixMillis,
-        actions: &mut Vec<agent::AgentAction>,
-    ) {
-        let mut target = target.clone();
-        let ticket = self.ticket_for_answer(&mut target, now);
-        let wanted = target.wanted.unwrap_or(message::BodyBlock {
-            number: 0,
-            more: false,
-            size: DEFAULT_BLOCK,
-        });
-        let start = wanted.offset().min(whole.body.len());
-        let end = (start + wanted.size as usize).min(whole.body.len());
-        let in_blocks = whole.body.len() > wanted.size as usize;
-        if in_blocks {
-            self.keep_body(&target, whole, wanted, now);
-        }
-        let block = message::BodyBlock { more: end < whole.body.len(), ..wanted };
-        let answer = message::AgentAnswer::Body {
-            status: whole.status,
-            payload: whole.body[start..end].to_vec(),
-            block: in_blocks.then_some(block),
-            body_tag: whole.body_tag(),
-        };
-        self.push_answer(&target, answer, ticket, actions);
-    }
-
-    /// Keeps a large answer from its first block on, and notes which block is being fetched.
-    ///
-    /// A drain waits for the last one. Answers of recorded requests come from the record, so the
-    /// fetching of those has to be noted here as well.
-    fn keep_body(
-        &mut self,
-        target: &AnswerTarget,
-        whole: &sync::Arc<message::WholeAnswer>,
-        wanted: message::BodyBlock,
-        now: ids::UnixMillis,
-    ) {
-        let key = target.body_key(self.config.service);
-        match wanted.number {
-            0 => self.bodies.keep(key, whole, now),
-            _ => drop(self.bodies.fetch(&key, wanted, now)),
-        }
-    }
-
-    fn answer_block_taken(
-        &mut self,
-        target: &AnswerTarget,
-        block: message::BodyBlock,
-        actions: &mut Vec<agent::AgentAction>,
-    ) {
-        let answer = message::AgentAnswer::Continue { block };
-        self.push_answer(target, answer, None, actions);
-    }
-
-    fn push_answer(
-        &mut self,
-        target: &AnswerTarget,
-        answer: message::AgentAnswer,
-        ticket: Option<Vec<u8>>,
-        actions: &mut Vec<agent::AgentAction>,
-    ) {
-        let Some(to) = self.answer_address(target.via) else {
-            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
-        };
-        let reply = message::ReplyPacket {
-            head: self.head(),
-            service: self.config.service,
-            address: target.address,
-            caller: target.caller,
-            payload: Vec::new(),
-        };
-        let exchange = target.exchange.clone();
-        actions.push(agent::AgentAction::Answer { to, reply, exchange, answer, ticket });
-    }
-
-    fn refuse(
-        &mut self,
-        target: &AnswerTarget,
-        kind: message::RefusalKind,
-        actions: &mut Vec<agent::AgentAction>,
-    ) {
-        let Some(to) = self.answer_address(target.via) else {
-            return actions.push(agent::AgentAction::Drop(balancer::DropReason::NoAgent));
-        };
-        let refuse = message::RefusePacket {
-            head: self.head(),
-            service: self.config.service,
-            address: target.address,
-            caller: target.caller,
-            exchange: target.exchange.clone(),
-            kind,
-            behalf: target.behalf,
-        };
-        actions.push(agent::AgentAction::Send { to, packet: message::PeerPacket::Refuse(refuse) });
-    }
-
-    /// The ticket that an answer carries for the caller's next request, if any.
-    ///
-    /// A ticket that names this run is renewed within its lineage, so that a caller that repeats a
-    /// request under the newer ticket still meets the record of the first. Only the home itself
-    /// may renew: it alone knows how long it then has to remember.
-    fn ticket_for_answer(
-        &mut self,
-        target: &mut AnswerTarget,
-        now: ids::UnixMillis,
-    ) -> Option<Vec<u8>> {
-        let is_busy = self.gate.waiting() >= self.gate.slots();
-        if self.draining || is_busy || self.failures >= FAILURES_IN_A_ROW {
-            return None;
-        }
-        let issued_s = now.as_secs() as u32;
-        let fresh = match target.ticket {
-            None => ticket::RequestTicket {
-                home: self.config.instance,
-                service: self.config.service,
-                issued_s,
-                lineage: self.rng.next_u64(),
-            },
-            Some(held) if held.home != self.config.instance => return None,
-            Some(held) => {
-                let left_ms = held.expires().since(now);
-                let is_young = left_ms
-                    > ticket::TICKET_LIFETIME_MS - ticket::TICKET_LIFETIME_MS / REFRESH_SHARE;
-                if is_young || !self.ledger.may_extend(held.lineage, now) {
-                    return None;
-                }
-                self.ledger.extend_lineage(held.lineage, issued_s, now);
-                ticket::RequestTicket { issued_s, ..held }
-            }
-        };
-        let sealed = self.state.keys().seal(&fresh, now)?;
-        target.ticket = Some(fresh);
-        Some(sealed)
-    }
-
     fn note_health(&mut self, outcome: &agent::RunOutcome, now: ids::UnixMillis) {
         match outcome {
             agent::RunOutcome::Answered(_) => self.failures = 0,
@@ -788,8 +524,8 @@
 }
 
 impl RequestArrival {
-    fn target(&self) -> AnswerTarget {
-        AnswerTarget::new(&self.packet, &self.request, self.ticket)
+    fn target(&self) -> answers::AnswerTarget {
+        answers::AnswerTarget::new(&self.packet, &self.request, self.ticket)
     }
 
     fn key(&self, ticket: &ticket::RequestTicket) -> ledger::RequestKey {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,7 +18,9 @@
 
 pub mod clock;
 pub mod control;
+pub mod difference;
 pub mod http;
+pub mod identity;
 pub mod logs;
 pub mod meters;
 pub mod platform;
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -13,5 +13,6 @@
 pub mod flows;
 mod mesh;
 pub mod path;
+mod plain_hosts;
 pub mod requests;
 pub mod table;
--- a/crates/standins/src/bench/requests.rs
+++ b/crates/standins/src/bench/requests.rs
@@ -17,22 +17,23 @@
 
 use crate::bench::flows;
 use crate::bench::mesh;
+use crate::bench::plain_hosts;
 use crate::bench::table;
 
-const BALANCERS: usize = 3;
-const CALLERS: usize = 300;
-const SLOTS: u32 = 4;
-const QUEUE_PER_SLOT: u32 = 4;
-const MEAN_RUN_MS: f64 = 50.0;
-const DEADLINE_MS: u64 = 1_000;
-const WARM_UP_MS: u64 = 5_000;
-const CHANGE_MS: u64 = 10_000;
-const END_MS: u64 = 30_000;
-const SAMPLE_MS: u64 = 50;
-const REPORT_MS: u64 = 1_000;
+pub(super) const BALANCERS: usize = 3;
+pub(super) const CALLERS: usize = 300;
+pub(super) const SLOTS: u32 = 4;
+pub(super) const QUEUE_PER_SLOT: u32 = 4;
+pub(super) const MEAN_RUN_MS: f64 = 50.0;
+pub(super) const DEADLINE_MS: u64 = 1_000;
+pub(super) const WARM_UP_MS: u64 = 5_000;
+pub(super) const CHANGE_MS: u64 = 10_000;
+pub(super) const END_MS: u64 = 30_000;
+pub(super) const SAMPLE_MS: u64 = 50;
+pub(super) const REPORT_MS: u64 = 1_000;
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RequestPolicy {
+pub(super) enum RequestPolicy {
     Ours,
     Random,
     RoundRobin,
@@ -50,7 +51,7 @@
 
 /// What is wrong with one host, or changes at ten seconds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RequestTrouble {
+pub(super) enum RequestTrouble {
     None,
     /// One host takes five times as long.
     SlowHost,
@@ -112,27 +113,27 @@
 }
 
 #[derive(Clone, Copy)]
-struct RequestCase {
-    plan: RequestPlan,
-    load: f64,
-    trouble: RequestTrouble,
-    policy: RequestPolicy,
+pub(super) struct RequestCase {
+    pub(super) plan: RequestPlan,
+    pub(super) load: f64,
+    pub(super) trouble: RequestTrouble,
+    pub(super) policy: RequestPolicy,
 }
 
 /// What was counted after the warm-up.
-struct RequestBook {
-    sent: u64,
-    in_time: u64,
-    refused: u64,
-    waits: hdr::Histogram<u64>,
-    running: collections::HashMap<ids::InstanceId, u64>,
+pub(super) struct RequestBook {
+    pub(super) sent: u64,
+    pub(super) in_time: u64,
+    pub(super) refused: u64,
+    pub(super) waits: hdr::Histogram<u64>,
+    pub(super) running: collections::HashMap<ids::InstanceId, u64>,
 }
 
 impl RequestCase {
     fn row(&self) -> Vec<String> {
         let book = match self.policy {
             RequestPolicy::Ours => OurRun::new(*self).run(),
-            _ => BaselineRun::new(*self).run(),
+            _ => plain_hosts::BaselineRun::new(*self).run(),
         };
         let capacity = self.arrivals_a_second(1.0) * (END_MS - WARM_UP_MS) as f64 / 1_000.0;
         let possible = capacity * self.load.min(1.0);
@@ -158,7 +159,7 @@
     }
 
     /// The milliseconds of all arrivals.
-    fn arrivals(&self, rng: &mut rngs::StdRng) -> Vec<u64> {
+    pub(super) fn arrivals(&self, rng: &mut rngs::StdRng) -> Vec<u64> {
         let mean_ms = 1_000.0 / self.arrivals_a_second(self.load);
         let mut at = 0.0;
         let mut arrivals = Vec::new();
@@ -170,7 +171,7 @@
     }
 
     /// How much longer a host takes at a time after the start.
-    fn slowness(&self, host: usize, at_ms: u64) -> f64 {
+    pub(super) fn slowness(&self, host: usize, at_ms: u64) -> f64 {
         let is_cold = (CHANGE_MS..CHANGE_MS + 10_000).contains(&at_ms);
         match self.trouble {
             RequestTrouble::SlowHost if host == 0 => 5.0,
@@ -181,7 +182,7 @@
 }
 
 impl RequestBook {
-    fn new() -> RequestBook {
+    pub(super) fn new() -> RequestBook {
         RequestBook {
             sent: 0,
             in_time: 0,
@@ -193,7 +194,7 @@
     }
 }
 
-fn exponential(rng: &mut rngs::StdRng, mean: f64) -> f64 {
+pub(super) fn exponential(rng: &mut rngs::StdRng, mean: f64) -> f64 {
     -mean * (1.0 - rng.random::<f64>()).ln()
 }
 
@@ -407,205 +408,3 @@
 const SAMPLE: usize = 1;
 const CHANGE: usize = 2;
 const NOTICED: usize = 3;
-
-/// A host of the baselines: the same gate, and nothing else.
-struct PlainHost {
-    gate: admission::AdmissionGate,
-    waiting: collections::HashMap<admission::RunId, (u64, u64)>,
-    is_up: bool,
-    takes_new: bool,
-}
-
-struct BaselineRun {
-    case: RequestCase,
-    rng: rngs::StdRng,
-    hosts: Vec<PlainHost>,
-    reported: Vec<u32>,
-    /// The hosts that the balancers know of.
-    known: Vec<usize>,
-    turns: [usize; BALANCERS],
-    events: collections::BTreeMap<(u64, u64), PlainEvent>,
-    order: u64,
-    book: RequestBook,
-}
-
-#[derive(Clone, Copy)]
-enum PlainEvent {
-    Arrival,
-    RunEnds { host: usize, ran_ms: u64, arrived: u64 },
-    Sample,
-    Report,
-    Change,
-    Noticed,
-}
-
-impl BaselineRun {
-    fn new(case: RequestCase) -> BaselineRun {
-        let hosts: Vec<_> = (0..case.plan.hosts).map(|_| PlainHost::new()).collect();
-        BaselineRun {
-            reported: vec![0; hosts.len() + 1],
-            known: (0..hosts.len()).collect(),
-            rng: rngs::StdRng::seed_from_u64(case.plan.seed),
-            hosts,
-            turns: [0; BALANCERS],
-            events: collections::BTreeMap::new(),
-            order: 0,
-            book: RequestBook::new(),
-            case,
-        }
-    }
-
-    fn run(mut self) -> RequestBook {
-        for arrival in self.case.arrivals(&mut self.rng) {
-            self.push(arrival, PlainEvent::Arrival);
-        }
-        for at in (0..END_MS).step_by(SAMPLE_MS as usize) {
-            self.push(at, PlainEvent::Sample);
-        }
-        for at in (0..END_MS).step_by(REPORT_MS as usize) {
-            self.push(at, PlainEvent::Report);
-        }
-        self.push(CHANGE_MS, PlainEvent::Change);
-        self.push(CHANGE_MS + 1_000, PlainEvent::Noticed);
-        while let Some(((at, _), event)) = self.events.pop_first() {
-            match event {
-                PlainEvent::Arrival => self.arrive(at),
-                PlainEvent::RunEnds { host, ran_ms, arrived } => {
-                    self.end_run(at, host, ran_ms, arrived);
-                }
-                PlainEvent::Sample => self.sample(at),
-                PlainEvent::Report => self.report(),
-                PlainEvent::Change => self.change(),
-                PlainEvent::Noticed => self.notice(),
-            }
-        }
-        self.book
-    }
-
-    fn push(&mut self, at: u64, event: PlainEvent) {
-        self.order += 1;
-        self.events.insert((at, self.order), event);
-    }
-
-    fn counts(&self, arrived: u64) -> bool {
-        (WARM_UP_MS..END_MS).contains(&arrived)
-    }
-
-    fn arrive(&mut self, at: u64) {
-        let caller = self.rng.random_range(0..CALLERS);
-        let balancer = self.rng.random_range(0..BALANCERS);
-        self.book.sent += u64::from(self.counts(at));
-        let host = self.choose(balancer, caller);
-        self.order += 1;
-        let run = admission::RunId(self.order);
-        let held = &mut self.hosts[host];
-        // A datagram to a dead host, or one that takes nothing new, leads to nothing.
-        if !held.is_up || !held.takes_new {
-            return;
-        }
-        let (now, deadline) = (ids::UnixMillis(at), ids::UnixMillis(at + DEADLINE_MS));
-        match held.gate.offer(run, deadline, 0, now) {
-            admission::AdmissionVerdict::Start => self.start(at, host, at),
-            admission::AdmissionVerdict::Wait => drop(held.waiting.insert(run, (at, at))),
-            admission::AdmissionVerdict::Refuse { .. } => {
-                self.book.refused += u64::from(self.counts(at));
-            }
-        }
-    }
-
-    fn choose(&mut self, balancer: usize, caller: usize) -> usize {
-        let known = &self.known;
-        match self.case.policy {
-            RequestPolicy::Ours | RequestPolicy::Random => {
-                known[self.rng.random_range(0..known.len())]
-            }
-            RequestPolicy::RoundRobin => {
-                self.turns[balancer] += 1;
-                known[self.turns[balancer] % known.len()]
-            }
-            RequestPolicy::Rendezvous => {
-                let rank = |host: &usize| ids::mix_words(*host as u64 + 1, caller as u64 + 1);
-                known.iter().copied().max_by_key(rank).unwrap_or(0)
-            }
-            RequestPolicy::LeastReported => {
-                known.iter().copied().min_by_key(|host| self.reported[*host]).unwrap_or(0)
-            }
-        }
-    }
-
-    fn start(&mut self, at: u64, host: usize, arrived: u64) {
-        if self.counts(arrived) {
-            let _ = self.book.waits.record(at - arrived);
-        }
-        let slowness = self.case.slowness(host, at);
-        let ran_ms = (exponential(&mut self.rng, MEAN_RUN_MS) * slowness) as u64;
-        self.push(at + ran_ms, PlainEvent::RunEnds { host, ran_ms, arrived });
-    }
-
-    fn end_run(&mut self, at: u64, host: usize, ran_ms: u64, arrived: u64) {
-        if !self.hosts[host].is_up {
-            return;
-        }
-        if self.counts(arrived) {
-            self.book.in_time += u64::from(at <= arrived + DEADLINE_MS);
-        }
-        let release = self.hosts[host].gate.finish(ran_ms, ids::UnixMillis(at));
-        for late in release.late {
-            let held = self.hosts[host].waiting.remove(&late);
-            let counts = held.is_some_and(|(arrived, _)| self.counts(arrived));
-            self.book.refused += u64::from(counts);
-        }
-        let next = release.start.and_then(|run| self.hosts[host].waiting.remove(&run));
-        if let Some((arrived, _)) = next {
-            self.start(at, host, arrived);
-        }
-    }
-
-    fn sample(&mut self, at: u64) {
-        if !self.counts(at) {
-            return;
-        }
-        for (number, host) in self.hosts.iter().enumerate() {
-            if host.is_up && host.takes_new {
-                let instance = ids::InstanceId(number as u64);
-                *self.book.running.entry(instance).or_default() += u64::from(host.gate.running());
-            }
-        }
-    }
-
-    fn report(&mut self) {
-        for (number, host) in self.hosts.iter().enumerate() {
-            let lies = number == 0 && self.case.trouble == RequestTrouble::LyingHost;
-            let load = host.gate.running() + host.gate.waiting();
-            self.reported[number] = if lies { 0 } else { load };
-        }
-    }
-
-    fn change(&mut self) {
-        match self.case.trouble {
-            RequestTrouble::ColdStart => self.hosts.push(PlainHost::new()),
-            RequestTrouble::Drain => self.hosts[0].takes_new = false,
-            RequestTrouble::HostLost => {
-                self.hosts[0].is_up = false;
-                self.book.running.remove(&ids::InstanceId(0));
-            }
-            _ => {}
-        }
-    }
-
-    fn notice(&mut self) {
-        let usable = |number: &usize| self.hosts[*number].is_up && self.hosts[*number].takes_new;
-        self.known = (0..self.hosts.len()).filter(usable).collect();
-    }
-}
-
-impl PlainHost {
-    fn new() -> PlainHost {
-        PlainHost {
-            gate: admission::AdmissionGate::new(SLOTS, QUEUE_PER_SLOT),
-            waiting: collections::HashMap::new(),
-            is_up: true,
-            takes_new: true,
-        }
-    }
-}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -45,7 +45,7 @@
 lost-answer-is-conflict	crates/node/src/release.rs	s/if let Some\(generation\) = found\.generation_of\(write_id\)/if let Some(generation) = found.generation_of(write_id).filter(|_| false)/	-p rosemaryusher-node --test release_race lost
 address-moves-at-once	crates/node/src/release.rs	s/faults\.extend\(resting_faults\(.*?\)\);//	-p rosemaryusher-node --test release_race address_moved
 address-owner-unchecked	crates/core/src/agent/mod.rs	s/_ if is_moved && is_newer => .*?\n//	-p rosemaryusher-core --test agent_drain moved_address
-fetching-not-noted	crates/core/src/agent/requests.rs	s/_ => drop\(self\.bodies\.fetch\(&key, wanted, now\)\),/_ => {}/	-p rosemaryusher-core --test agent_drain answer_fetched
+fetching-not-noted	crates/core/src/agent/answers.rs	s/_ => drop\(self\.bodies\.fetch\(&key, wanted, now\)\),/_ => {}/	-p rosemaryusher-core --test agent_drain answer_fetched
 upload-not-counted	crates/core/src/agent/mod.rs	s/requests && self\.uploads == 0/requests/	-p rosemaryusher-core --test agent_drain upload_goes_on
 retries-for-all	crates/core/src/agent/requests.rs	s/let may_repeat = active\.recorded\.is_none\(\)/let may_repeat = true/	-p rosemaryusher-core --test retry_budget save_nowhere
 TABLE
