Register flows only when they may be looked up elsewhere; refuse parts too large

Cause: every change of the view, nearly always of other services in a large fleet, had each agent go through all its flows twenty times a second for six seconds; a part over the platform's megabyte would have failed in the middle of a write. Change: the service's own candidates carry a version; a part's size is checked before anything is written.

--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -47,6 +47,9 @@
 /// A gap between two ticks that means this process did not run, in milliseconds.
 const PAUSE_MS: u64 = 2_000;
 
+/// How often flows are registered anew while new agents settle, in milliseconds.
+const REGISTER_MS: u64 = 1_000;
+
 /// The settings of an agent's decisions.
 #[derive(Clone, Debug)]
 pub struct AgentConfig {
@@ -227,7 +230,9 @@
     sequence: u64,
     draining: bool,
     last_tick: Option<ids::UnixMillis>,
+    registered_version: u64,
     register_until: ids::UnixMillis,
+    registered: ids::UnixMillis,
     rng: rngs::StdRng,
 }
 
@@ -254,7 +259,9 @@
             sequence: 0,
             draining: false,
             last_tick: None,
+            registered_version: 0,
             register_until: ids::UnixMillis(0),
+            registered: ids::UnixMillis(0),
             rng: rngs::StdRng::seed_from_u64(config.seed),
             config,
         }
@@ -279,12 +286,12 @@
             AgentEvent::View(view) => {
                 self.view = view;
                 self.update_routes();
-                self.register_until = now.plus(2 * routing::SETTLE_MS);
-                self.register_flows(now, actions);
+                self.register_anew(now, actions);
             }
             AgentEvent::Config(state) => {
                 self.state = state;
                 self.update_routes();
+                self.register_anew(now, actions);
             }
             AgentEvent::Drain => self.draining = true,
             AgentEvent::Adopt { home, entries, is_last } => {
@@ -306,6 +313,19 @@
         }
     }
 
+    /// Registers all flows, if they may be looked up elsewhere than before.
+    ///
+    /// In a large fleet the view changes all the time, nearly always for other services.
+    fn register_anew(&mut self, now: ids::UnixMillis, actions: &mut Vec<AgentAction>) {
+        let version = self.routes.version(self.config.service);
+        if std::mem::replace(&mut self.registered_version, version) == version {
+            return;
+        }
+        self.register_until = now.plus(2 * routing::SETTLE_MS);
+        self.registered = now;
+        self.register_flows(now, actions);
+    }
+
     fn handle_peer(
         &mut self,
         packet: message::PeerPacket,
@@ -375,7 +395,8 @@
         self.time_out_runs(now, actions);
         self.end_overdue_lookups(now, actions);
         self.close_idle_flows(now, actions);
-        if now <= self.register_until {
+        if now <= self.register_until && now.since(self.registered) >= REGISTER_MS {
+            self.registered = now;
             self.register_flows(now, actions);
         }
         self.ledger.sweep(now);
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -34,6 +34,7 @@
 struct ServiceRoutes {
     table: placement::BucketTable,
     largest_hosts: u32,
+    version: u64,
     /// The near ones first.
     workers: Vec<RouteWorker>,
     near_count: usize,
@@ -91,8 +92,12 @@
     fn set_hosts(&mut self, largest: u32, hosts: &collections::BTreeSet<ids::InstanceId>) {
         if self.largest_hosts != largest {
             self.largest_hosts = largest;
+            self.version += 1;
             self.table = placement::BucketTable::new(largest);
         }
+        if !self.table.members().eq(hosts.iter().copied()) {
+            self.version += 1;
+        }
         self.table.set_members(hosts);
     }
 }
@@ -148,6 +153,11 @@
         all.chain(self.settled(flow, view, now).into_iter().take(ANCHOR_DEPTH)).collect()
     }
 
+    /// Rises whenever flows of a service may be looked up at other agents than before.
+    pub fn version(&self, service: ids::ServiceId) -> u64 {
+        self.services.get(&service).map_or(0, |routes| routes.version)
+    }
+
     /// The agents of a service that take new work.
     pub fn workers(&self, service: ids::ServiceId) -> &[RouteWorker] {
         self.services.get(&service).map_or(&[], |routes| &routes.workers)
--- a/crates/node/src/release.rs
+++ b/crates/node/src/release.rs
@@ -28,6 +28,9 @@
 /// Each change rewrites one part and the head, so a part stays far below the platform's megabyte.
 const PART_COUNT: u32 = 64;
 
+/// The longest value that the platform takes, in bytes.
+const LONGEST_VALUE: usize = 1_000_000;
+
 /// How many earlier writes a head remembers, so that a writer finds its own under later ones.
 const HISTORY_LENGTH: usize = 64;
 
@@ -319,6 +322,9 @@
             object.resting = next_resting(wanted, &current, &object.resting, now);
             object.data_centres = wanted.data_centres.clone();
             parts = parts_of(wanted)?;
+            if let Some(fault) = size_fault(&parts) {
+                return Ok(NextHead::Faulty(vec![fault]));
+            }
             object.parts = parts.keys().cloned().collect();
         }
     }
@@ -440,6 +446,16 @@
     Ok(parts)
 }
 
+/// Refuses a part that the platform would not take, before anything is written.
+fn size_fault(parts: &collections::BTreeMap<String, String>) -> Option<manifest::ManifestFault> {
+    let longest = parts.values().map(String::len).max()?;
+    (longest > LONGEST_VALUE).then(|| manifest::ManifestFault {
+        path: "services".to_owned(),
+        problem: format!("a part would be {longest} bytes, the platform takes {LONGEST_VALUE}"),
+        mend: "leave out rules that are at their defaults, or use fewer services".to_owned(),
+    })
+}
+
 fn resting_faults(
     wanted: &manifest::ServiceManifest,
     current: &manifest::ServiceManifest,
--- a/crates/node/tests/release_race.rs
+++ b/crates/node/tests/release_race.rs
@@ -287,6 +287,25 @@
     assert_eq!(in_force(&store), manifest(ONE), "a rotation changes no service");
 }
 
+/// An operator whose manifest the platform could not hold is told so, and nothing is written.
+#[test]
+fn oversize_part() {
+    let store = FakeStore::default();
+    // Long names that all fall into one part.
+    let padding = "x".repeat(10_000);
+    let names = (0..).map(|n| format!("service-{n}-{padding}"));
+    let names = names.filter(|name| ids::ServiceId::of_name(name).0.is_multiple_of(64));
+    let names: Vec<_> = names.take(110).collect();
+    let addresses: Vec<_> = (0..names.len()).map(|n| format!("10.0.0.{n}:1")).collect();
+    let pairs = names.iter().zip(&addresses);
+    let services: Vec<_> = pairs.map(|(n, a)| (n.as_str(), a.as_str(), 4)).collect();
+    let drafted = draft("ana", &services);
+    let outcome = submit(&store, &drafted);
+    let release::ReleaseOutcome::Faulty(faults) = outcome else { panic!("not refused") };
+    assert!(faults.iter().any(|fault| fault.problem.contains("a part would be")), "{faults:?}");
+    assert!(store.objects.borrow().is_empty());
+}
+
 /// A change of one service costs a watcher one read, not one for each part.
 #[test]
 fn parts_cached() {
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -31,7 +31,7 @@
 service-of-ticket-unchecked	crates/core/src/balancer.rs	s/Ok\(ticket\) if ticket\.service != service => TicketRoute::Bad,//	-p rosemaryusher-core --test request_once foreign_ticket
 refusing-home-offered	crates/core/src/balancer.rs	s/refuse\.behalf\.into_iter\(\)\.chain\(\[refuse\.head\.from\]\)\.collect\(\)/Vec::new()/	-p rosemaryusher-core --test request_once ticket_circle
 anchors-not-registered	crates/core/src/agent/flows.rs	s/for anchor in anchors\.difference\(&before\)/for anchor in anchors.difference(\&before).take(0)/	-p rosemaryusher-core --test flow_fuzz flows_hold
-no-new-registration	crates/core/src/agent/mod.rs	s/self\.register_until = now\.plus\(2 \* routing::SETTLE_MS\);\n\s+self\.register_flows\(now, actions\);//	-p rosemaryusher-core --test flow_fuzz flows_hold
+no-new-registration	crates/core/src/agent/mod.rs	s/self\.register_until = now\.plus\(2 \* routing::SETTLE_MS\);\n\s+self\.registered = now;\n\s+self\.register_flows\(now, actions\);//	-p rosemaryusher-core --test flow_fuzz flows_hold
 lookup-skipped	crates/core/src/agent/flows.rs	s/if others\.is_empty\(\) \{/if true {/	-p rosemaryusher-core --test flow_order skewed_views
 no-yield	crates/core/src/agent/flows.rs	s/if self\.flows\.is_pending\(&flow\) && self\.goes_before\(asker\.anchor, &flow, now\)/if false/	-p rosemaryusher-core --test flow_order skewed_views
 unsettled-used	crates/core/src/routing.rs	s/pub const SETTLE_MS: u64 = 3_000/pub const SETTLE_MS: u64 = 0/	-p rosemaryusher-core --test flow_fuzz flows_hold
