--- a/crates/core/tests/flow_order.rs
+++ b/crates/core/tests/flow_order.rs
@@ -126,7 +126,7 @@
     assert!(world.book.flows_held > CALLERS as u64);
 }
 
-/// No open flow moves when a service doubles at once.
+/// No open flow moves when a service triples at once.
 /// A balancer hears of all new hosts at once, the flows' owners have not heard of them. Hashing
 /// names new hosts first for most flows, and the few that a lookup asks are new hosts too.
 #[test]
@@ -136,7 +136,7 @@
         send(&mut world, caller, 0);
         world.deliver_all();
     }
-    for number in 0..8 {
+    for number in 0..16 {
         world.start_agent(number % 2);
     }
     let balancer = world.agents.len();
