Never run the rest of an answer as a request; show that goodput stays level

Cause, found by reading: a client without request ids that asks for a later block of an answer which is not kept any more had that block run as a new request, a doubled action. Ruled out: the record (its entry has another id) and the store of bodies (it may be full, or the caller late). Change: a later block whose answer is gone is refused, 4.08. Measured: answer_gone failed before (the post ran), passes after.

--- a/crates/core/src/agent/requests.rs
+++ b/crates/core/src/agent/requests.rs
@@ -242,7 +242,13 @@
             return self.answer(&target, &answer, now, actions);
         }
         let is_begun = self.uploads.contains(key);
+        let wants_later_block = target.wanted.is_some_and(|block| block.number > 0);
         match () {
+            // It continues an answer that is not kept any more. Run as a request of its own, it
+            // would be the doubled action that the ticket is there to prevent.
+            _ if wants_later_block => {
+                self.refuse(&target, message::RefusalKind::UploadIncomplete, actions);
+            }
             _ if self.ledger.is_below_floor(ticket.issued_s) => {
                 let kind = message::RefusalKind::ComeBack { after_s: self.return_after() };
                 self.refuse(&target, kind, actions);
--- a/crates/core/tests/agent_drain.rs
+++ b/crates/core/tests/agent_drain.rs
@@ -97,6 +97,21 @@
     assert_eq!(lengths, [(Some(0), 1_024), (Some(2), 452), (Some(1), 1_024)]);
 }
 
+/// The caller that fetches the rest of an answer never has its request run a second time.
+/// Its client names no request id, so each block asked for looks like a request of its own, and
+/// the answer is no longer kept: there was no room, or the caller came too late.
+#[test]
+fn answer_gone() {
+    let mut world = World::settled(1, 2);
+    world.add_callers(1);
+    let mut request = upload(&world, 5, 0, false);
+    request.upload = None;
+    request.wanted = Some(message::BodyBlock { number: 2, more: false, size: 1_024 });
+    world.hand_request(HOST, None, request);
+    assert!(world.agents[HOST].running.is_empty());
+    assert_eq!(last_refusal(&world), Some(message::RefusalKind::UploadIncomplete));
+}
+
 /// The caller of the wallet never reaches the preview service's host.
 /// The address was given to another service; a balancer that has not heard sends a datagram for
 /// it to an agent of the service that had it before.
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -47,6 +47,8 @@
 address-owner-unchecked	crates/core/src/agent/mod.rs	s/_ if is_moved && is_newer => .*?\n//	-p rosemaryusher-core --test agent_drain moved_address
 fetching-not-noted	crates/core/src/agent/answers.rs	s/_ => drop\(self\.bodies\.fetch\(&key, wanted, now\)\),/_ => {}/	-p rosemaryusher-core --test agent_drain answer_fetched
 upload-not-counted	crates/core/src/agent/mod.rs	s/requests && self\.uploads == 0/requests/	-p rosemaryusher-core --test agent_drain upload_goes_on
+later-block-runs	crates/core/src/agent/requests.rs	s/_ if wants_later_block =>/_ if false \&\& wants_later_block =>/	-p rosemaryusher-core --test agent_drain answer_gone
+queue-unbounded	crates/core/src/admission.rs	s/>= self\.slots \* self\.queue_per_slot/>= u32::MAX/;s/_ if now\.plus\(wait_ms as u64\) >= deadline => self\.refusal\(spread\),//	-p rosemaryusher-core --test admission_gate overload_level
 TABLE
 }
 
