--- a/crates/core/src/flow_table.rs
+++ b/crates/core/src/flow_table.rs
@@ -149,11 +149,6 @@
         self.owned.len()
     }
 
-    /// How many flows' owners this agent remembers for others.
-    pub fn directory_len(&self) -> usize {
-        self.directory.len()
-    }
-
     /// Who else owns a flow, as far as this agent knows.
     pub fn known_owner(&self, flow: &placement::FlowKey) -> Option<ids::InstanceId> {
         self.directory.get(flow).copied()
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -130,11 +130,6 @@
         }
         checker.faults
     }
-
-    /// A data centre's place in the manifest, or `None` if it is not there.
-    pub fn has_centre(&self, name: &str) -> bool {
-        self.data_centres.iter().any(|centre| centre == name)
-    }
 }
 
 #[derive(Default)]
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -116,11 +116,6 @@
         self.members.get(&instance).map(|member| &member.record)
     }
 
-    /// A member with the times this process keeps for it.
-    pub fn viewed(&self, instance: ids::InstanceId) -> Option<&ViewedMember> {
-        self.members.get(&instance).map(|member| &**member)
-    }
-
     /// Every member, dead ones too, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &ViewedMember> {
         self.members.values().map(|member| &**member)
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -20,7 +20,7 @@
 /// owners are chosen by load.
 const BUCKETS_PER_HOST: u32 = 16;
 
-/// The most buckets of one service: what a newcomer fills for ten thousand hosts in two seconds.
+/// The most buckets of one service: what a newcomer fills for ten thousand hosts in three seconds.
 const MOST_BUCKETS: u32 = 65_536;
 
 /// A flow: who sends to which service.
