Send every field of a service between processes; decide where streams go

Cause: a service without a request address was sent with that field left out. Between processes a structure is a list, so the rest moved up by a place and the receiver refused the whole configuration. Ruled out: maps in place of lists, which would make each configuration longer by its field names.

Nothing runs them yet.

--- a/crates/balancer/src/entries.rs
+++ b/crates/balancer/src/entries.rs
@@ -43,7 +43,9 @@
         inputs: &channel::Sender<decide::BalancerInput>,
         executor: &sync::Arc<smol::Executor<'static>>,
     ) {
-        let wanted: collections::HashMap<_, _> = state.entries().collect();
+        let is_own = |entry: &config::ServiceEntry| entry.kind != config::EntryKind::Streams;
+        let wanted: collections::HashMap<_, _> =
+            state.entries().filter(|(_, entry)| is_own(entry)).collect();
         if let Ok(mut sockets) = self.sockets.write() {
             sockets.retain(|address, _| wanted.contains_key(address));
         }
@@ -128,7 +130,7 @@
     /// Refuses at the door what does not fit the ring.
     async fn shed(&self, datagram: &[u8], caller: net::SocketAddr) {
         meters::count_drop("ring_full");
-        if self.kind == config::EntryKind::Datagrams {
+        if self.kind != config::EntryKind::Requests {
             return;
         }
         let Ok(request) = coap::RequestDatagram::parse(datagram) else { return };
--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -234,6 +234,8 @@
         };
         match (entry.kind, request) {
             (config::EntryKind::Datagrams, _) => self.forward_flow(arrival, entry.service),
+            // Segments never come to an entry's own socket.
+            (config::EntryKind::Streams, _) => BalancerAction::Drop(DropReason::Unexpected),
             (config::EntryKind::Requests, Ok(head)) => {
                 self.forward_request(arrival, entry.service, &head)
             }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -33,6 +33,8 @@
     Requests,
     /// Datagrams of which nothing is known.
     Datagrams,
+    /// Segments of streams.
+    Streams,
 }
 
 /// An address and what it stands for.
@@ -176,6 +178,10 @@
                 let Some(address) = address else { continue };
                 self.entries.insert(address, ServiceEntry { service: *service, kind });
             }
+            for address in &held.spec.streams {
+                let entry = ServiceEntry { service: *service, kind: EntryKind::Streams };
+                self.entries.insert(*address, entry);
+            }
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`balancer`] | where a caller's datagram goes, and what is refused at the door |
 //! | [`agent`] | what runs on one backend server, what is queued, repeated, refused, passed on |
 //! | [`membership`] | which processes there are, and who is draining, suspect or dead |
+//! | [`stream`] | where segments of streams go, and which backend server holds each |
 //! | [`config`] | which generation of the configuration is in force; it never goes back |
 //!
 //! # Example
@@ -45,5 +46,6 @@
 pub mod placement;
 pub mod retry;
 pub mod routing;
+pub mod stream;
 pub mod ticket;
 pub mod uploads;
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -23,17 +23,23 @@
 }
 
 /// One service.
+///
+/// No field is left out where it is written: between processes it is a list, and its fields are
+/// known by their places.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSpec {
     /// Its name, unique in the manifest.
     pub name: String,
     /// Where callers send CoAP requests, if the service takes any.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub requests: Option<net::SocketAddr>,
     /// Where callers send opaque datagrams, if the service takes any.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub datagrams: Option<net::SocketAddr>,
+    /// Where callers open streams, if the service takes any.
+    #[serde(default)]
+    pub streams: Vec<net::SocketAddr>,
     /// How many requests one host runs at the same time.
     pub host_slots: u32,
     /// How many flows one host holds open.
@@ -99,7 +105,7 @@
 
     /// Every address the service is reached at.
     pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> {
-        self.requests.into_iter().chain(self.datagrams)
+        self.requests.into_iter().chain(self.datagrams).chain(self.streams.iter().copied())
     }
 }
 
@@ -204,12 +210,16 @@
     fn check_addresses(&mut self, index: usize, spec: &'a ServiceSpec) {
         if spec.addresses().next().is_none() {
             let path = format!("services[{index}]");
-            self.add(path, "has no address", "give `requests`, `datagrams` or both");
+            self.add(path, "has no address", "give `requests`, `datagrams` or `streams`");
         }
-        let fields = [("requests", spec.requests), ("datagrams", spec.datagrams)];
-        for (field, address) in fields {
-            let Some(address) = address else { continue };
-            let path = format!("services[{index}].{field}");
+        let single = [("requests", spec.requests), ("datagrams", spec.datagrams)];
+        let single = single.into_iter().filter_map(|(field, address)| {
+            Some((format!("services[{index}].{field}"), address?))
+        });
+        let streams = spec.streams.iter().enumerate().map(|(nth, address)| {
+            (format!("services[{index}].streams[{nth}]"), *address)
+        });
+        for (path, address) in single.chain(streams) {
             if address.port() == 0 {
                 self.add(path.clone(), "has port 0", "give the port that callers send to");
             }
--- /dev/null
+++ b/crates/core/src/stream/board.rs
@@ -0,0 +1,248 @@
+//! What one balancer knows of every agent, and which of them a new stream goes to.
+
+use std::collections;
+use std::net;
+
+use rand::seq::IteratorRandom as _;
+
+use crate::ids;
+use crate::load;
+use crate::stream::agent;
+use crate::stream::host;
+use crate::stream::message;
+
+/// How long an agent may be unheard before no new stream goes there, in milliseconds: three of its
+/// reports and some.
+const HEARD_MS: u64 = 3 * agent::REPORT_MS + 50;
+
+/// How long an agent that is not heard is remembered, in milliseconds.
+///
+/// Its backend server may still hold streams, and it may come back at the same address.
+const KEPT_MS: u64 = 30_000;
+
+/// How many agents drawn at random are compared.
+///
+/// Taking the emptiest of all sends every balancer to the same host between two reports; with
+/// three, each choice still avoids the full ones.
+const DRAWN_AGENTS: usize = 3;
+
+/// What an open stream weighs against a request in progress.
+///
+/// A stream that stays open brings about one request a second, and each occupies a slot for some
+/// 30 ms.
+const STREAM_WEIGHT: f64 = 0.03;
+
+/// What a host in another data centre must be emptier by, as a share of its slots.
+///
+/// A request there costs a round trip between data centres, a few milliseconds in a hundred, and
+/// its bytes are paid for.
+const FAR_COST: f64 = 0.1;
+
+/// How much longer a request takes on a host that has just started.
+const SLOW_FACTOR: f64 = 1.6;
+
+/// What is known of one agent.
+#[derive(Clone, Debug)]
+pub struct KnownAgent {
+    /// Its last report; `None` if only its address is known.
+    pub report: Option<message::AgentReport>,
+    /// When it was last heard.
+    pub heard: ids::UnixMillis,
+    /// Whether it counted as heard when that was last looked at.
+    pub is_heard: bool,
+    sent_since: u32,
+}
+
+/// One agent and what its choice is based on.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentChoice {
+    /// Where it takes messages.
+    pub address: net::SocketAddrV4,
+    /// What is in progress there, with what was sent since its last report.
+    pub busy: u32,
+    /// Whether a slot is free there.
+    pub has_room: bool,
+    /// The age of the report, in milliseconds.
+    pub report_age_ms: u64,
+}
+
+/// Every agent that one balancer knows.
+#[derive(Debug, Default)]
+pub struct AgentBoard {
+    agents: collections::BTreeMap<net::SocketAddrV4, KnownAgent>,
+    data_centre: u32,
+}
+
+impl AgentBoard {
+    /// A board for a balancer in a data centre.
+    pub fn new(data_centre: u32) -> AgentBoard {
+        AgentBoard { agents: collections::BTreeMap::new(), data_centre }
+    }
+
+    /// Takes in a report; says whether it changes what is believed of the agent.
+    pub fn hear(
+        &mut self,
+        from: net::SocketAddrV4,
+        report: &message::AgentReport,
+        now: ids::UnixMillis,
+    ) -> bool {
+        let known = self.agents.entry(from).or_insert_with(|| unheard(now));
+        let is_late = known.report.as_ref().is_some_and(|held| {
+            held.agent == report.agent && held.load.sequence > report.load.sequence
+        });
+        if is_late {
+            return false;
+        }
+        let is_same = known
+            .report
+            .as_ref()
+            .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
+        let is_news = !is_same || !known.is_heard;
+        *known = KnownAgent {
+            report: Some(report.clone()),
+            heard: now,
+            is_heard: true,
+            sent_since: 0,
+        };
+        is_news
+    }
+
+    /// Takes in the load that rides on another message.
+    pub fn hear_load(
+        &mut self,
+        from: net::SocketAddrV4,
+        load: load::LoadReport,
+        now: ids::UnixMillis,
+    ) {
+        let Some(known) = self.agents.get_mut(&from) else { return };
+        let Some(report) = known.report.as_mut() else { return };
+        if load.sequence >= report.load.sequence {
+            report.load = load;
+            known.sent_since = 0;
+            known.heard = now;
+        }
+    }
+
+    /// Notes that an agent takes no new streams, until its next report.
+    pub fn note_refusal(&mut self, agent: net::SocketAddrV4, phase: host::HostPhase) {
+        let known = self.agents.get_mut(&agent).and_then(|known| known.report.as_mut());
+        if let Some(report) = known {
+            report.phase = phase;
+        }
+    }
+
+    /// Notes an opening that was sent.
+    pub fn note_sent(&mut self, agent: net::SocketAddrV4) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.sent_since += 1;
+        }
+    }
+
+    /// Notes an agent's address that another balancer told.
+    pub fn note_address(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
+        self.agents.entry(agent).or_insert_with(|| unheard(now));
+    }
+
+    /// Forgets agents unheard for long; gives back those that have just stopped being heard.
+    pub fn sweep(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        self.agents.retain(|_, known| now.since(known.heard) <= KEPT_MS);
+        let mut silent = Vec::new();
+        for (address, known) in &mut self.agents {
+            if known.is_heard && now.since(known.heard) > HEARD_MS {
+                known.is_heard = false;
+                silent.push(*address);
+            }
+        }
+        silent
+    }
+}
+
+impl AgentBoard {
+    /// Every agent that may be there.
+    pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        self.agents.keys().copied()
+    }
+
+    /// Where agents heard lately take messages.
+    pub fn heard(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        self.agents.iter().filter(|(_, known)| known.is_heard).map(|(address, _)| *address)
+    }
+
+    /// Agents that may hold a stream of a service.
+    pub fn holders(&self, service: Option<ids::ServiceId>) -> Vec<net::SocketAddrV4> {
+        let may_hold = |known: &KnownAgent| match (&known.report, service) {
+            (Some(report), Some(service)) => report.service == service,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        self.agents.iter().filter(|(_, k)| may_hold(k)).map(|(address, _)| *address).collect()
+    }
+
+    /// What is known of one agent.
+    pub fn get(&self, agent: net::SocketAddrV4) -> Option<&KnownAgent> {
+        self.agents.get(&agent)
+    }
+
+    /// Whether an agent was heard lately enough for a new stream.
+    pub fn is_fresh(&self, agent: net::SocketAddrV4, now: ids::UnixMillis) -> bool {
+        self.agents.get(&agent).is_some_and(|known| now.since(known.heard) <= HEARD_MS)
+    }
+
+    /// The agent that a new stream goes to: of a few drawn at random the emptiest, or of all where
+    /// none of those has a free slot.
+    pub fn choose(
+        &self,
+        service: ids::ServiceId,
+        tried: &[net::SocketAddrV4],
+        now: ids::UnixMillis,
+        random: &mut impl rand::Rng,
+    ) -> Option<AgentChoice> {
+        let candidates = || {
+            self.agents.iter().filter(move |(address, known)| {
+                let report = known.report.as_ref();
+                let serves = report
+                    .is_some_and(|r| r.service == service && r.phase == host::HostPhase::Serving);
+                serves && now.since(known.heard) <= HEARD_MS && !tried.contains(address)
+            })
+        };
+        let drawn = candidates().sample(random, DRAWN_AGENTS);
+        let best = drawn.into_iter().min_by(|a, b| self.cost(a.1).total_cmp(&self.cost(b.1)))?;
+        let best = match has_room(best.1) {
+            true => best,
+            false => candidates().min_by(|a, b| self.cost(a.1).total_cmp(&self.cost(b.1)))?,
+        };
+        Some(choice(best.0, best.1, now))
+    }
+
+    /// How full a host would be with one more request, as a share of its slots.
+    fn cost(&self, known: &KnownAgent) -> f64 {
+        let Some(report) = &known.report else { return f64::INFINITY };
+        let slots = f64::from(report.load.slots.max(1));
+        let work = f64::from(busy(known) + 1) + STREAM_WEIGHT * f64::from(report.load.flows);
+        let slowness = if report.slow_left_ms > 0 { SLOW_FACTOR } else { 1.0 };
+        let distance = if report.data_centre == self.data_centre { 0.0 } else { FAR_COST };
+        work / slots * slowness + distance
+    }
+}
+
+fn unheard(now: ids::UnixMillis) -> KnownAgent {
+    KnownAgent { report: None, heard: now, is_heard: false, sent_since: 0 }
+}
+
+fn busy(known: &KnownAgent) -> u32 {
+    let load = known.report.as_ref().map(|report| report.load).unwrap_or_default();
+    load.running + load.queued + known.sent_since
+}
+
+fn has_room(known: &KnownAgent) -> bool {
+    known.report.as_ref().is_some_and(|report| busy(known) < report.load.slots)
+}
+
+fn choice(address: &net::SocketAddrV4, known: &KnownAgent, now: ids::UnixMillis) -> AgentChoice {
+    AgentChoice {
+        address: *address,
+        busy: busy(known),
+        has_room: has_room(known),
+        report_age_ms: now.since(known.heard),
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/held.rs
@@ -0,0 +1,284 @@
+//! The streams that one backend server holds, and the work in progress there.
+//!
+//! Both are read off the heads of segments: data towards the backend server without any back yet
+//! is a request that runs or waits there. Counting what the backend server takes and answers,
+//! rather than what was sent to it, brings the count back to nothing after any storm.
+
+use std::collections;
+use std::net;
+
+use crate::ids;
+use crate::stream::segment;
+
+/// How long an accepted stream counts as work before its first request comes, in milliseconds.
+///
+/// A caller sends its request one round trip after the stream opens, some 10 ms; one that has not
+/// by then has gone or waits for its user.
+const EXPECT_MS: u64 = 400;
+
+/// How long a request counts as work without an answer, in milliseconds.
+///
+/// Callers' deadlines are a few seconds; a backend server that loses a request must not look busy
+/// for good.
+const WORK_LIMIT_MS: u64 = 5_000;
+
+/// How long a stream that has ended is remembered for its last segments, in milliseconds.
+const ENDED_MS: u64 = 3_000;
+
+/// How long an opening without an answer is remembered, in milliseconds: callers give up after 1.4 s.
+const OPENING_MS: u64 = 2_000;
+
+/// What a stream occupies at its backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkPhase {
+    /// The opening has been handed over and not yet answered.
+    Opening,
+    /// It is open, and its first request is on the way.
+    Expecting,
+    /// A request runs or waits.
+    Working,
+    /// The last request has been answered.
+    Resting,
+    /// Both ends have ended it, or one has reset it.
+    Ended,
+}
+
+impl WorkPhase {
+    fn is_busy(self) -> bool {
+        matches!(self, WorkPhase::Opening | WorkPhase::Expecting | WorkPhase::Working)
+    }
+}
+
+/// One stream.
+#[derive(Clone, Debug)]
+pub struct HeldStream {
+    /// What it occupies.
+    pub phase: WorkPhase,
+    /// The number that the backend server began with, if it was seen.
+    pub first_sequence: Option<u32>,
+    /// The number that the caller expects next: what a reset must carry to be taken.
+    pub caller_expects: u32,
+    /// The balancer that its last segment came through.
+    pub balancer: net::SocketAddrV4,
+    /// The opening, until it is answered.
+    pub opening: Vec<u8>,
+    since: ids::UnixMillis,
+    touched: ids::UnixMillis,
+    /// Whether the backend server has sent anything on it, which proves that it holds the stream.
+    spoken: bool,
+    ended_by_caller: bool,
+    ended_by_host: bool,
+}
+
+/// The streams of one backend server.
+#[derive(Debug, Default)]
+pub struct HeldStreams {
+    streams: collections::HashMap<segment::StreamKey, HeldStream, foldhash::fast::FixedState>,
+    busy: u32,
+    open: u32,
+    unanswered: collections::VecDeque<(ids::UnixMillis, segment::StreamKey)>,
+}
+
+impl HeldStreams {
+    /// Notes that an opening is handed over.
+    pub fn open(
+        &mut self,
+        key: segment::StreamKey,
+        balancer: net::SocketAddrV4,
+        opening: &[u8],
+        now: ids::UnixMillis,
+    ) {
+        match self.streams.get_mut(&key) {
+            Some(stream) if stream.phase != WorkPhase::Ended => {
+                stream.touched = now;
+                stream.balancer = balancer;
+            }
+            _ => {
+                self.remove(key);
+                let stream = HeldStream { opening: opening.to_vec(), ..stream_at(balancer, now) };
+                self.streams.insert(key, stream);
+                self.busy += 1;
+                self.open += 1;
+                self.unanswered.push_back((now, key));
+            }
+        }
+    }
+
+    /// Takes in a caller's segment that is no opening.
+    pub fn hear_caller(
+        &mut self,
+        key: segment::StreamKey,
+        head: &segment::SegmentHead,
+        balancer: net::SocketAddrV4,
+        now: ids::UnixMillis,
+    ) {
+        let stream = self.streams.entry(key).or_insert_with(|| HeldStream {
+            phase: WorkPhase::Resting,
+            ..stream_at(balancer, now)
+        });
+        stream.touched = now;
+        stream.balancer = balancer;
+        stream.caller_expects = head.acknowledged;
+        stream.ended_by_caller |= head.flags.ends;
+        let next = match stream.phase {
+            _ if head.flags.resets => WorkPhase::Ended,
+            WorkPhase::Ended => WorkPhase::Ended,
+            _ if head.length > 0 => WorkPhase::Working,
+            _ if stream.ended_by_caller && stream.ended_by_host => WorkPhase::Ended,
+            phase => phase,
+        };
+        self.busy = change_phase(stream, next, self.busy, now);
+    }
+
+    /// Takes in the backend server's segment; says whether it has just accepted the stream.
+    pub fn hear_host(
+        &mut self,
+        key: segment::StreamKey,
+        head: &segment::SegmentHead,
+        now: ids::UnixMillis,
+    ) -> bool {
+        let Some(stream) = self.streams.get_mut(&key) else {
+            // Held since before this run of the agent; a stream's end needs no entry.
+            if !head.flags.resets && !head.flags.opens {
+                let nobody = net::SocketAddrV4::new(net::Ipv4Addr::UNSPECIFIED, 0);
+                let stream = HeldStream {
+                    phase: WorkPhase::Resting,
+                    spoken: true,
+                    ..stream_at(nobody, now)
+                };
+                self.streams.insert(key, stream);
+            }
+            return false;
+        };
+        stream.touched = now;
+        stream.spoken = true;
+        stream.ended_by_host |= head.flags.ends;
+        let next = match stream.phase {
+            _ if head.flags.resets => WorkPhase::Ended,
+            WorkPhase::Ended => WorkPhase::Ended,
+            WorkPhase::Opening if head.flags.opens => WorkPhase::Expecting,
+            _ if stream.ended_by_caller && stream.ended_by_host => WorkPhase::Ended,
+            _ if head.length > 0 || head.flags.ends => WorkPhase::Resting,
+            phase => phase,
+        };
+        let is_accepted = stream.phase == WorkPhase::Opening && next == WorkPhase::Expecting;
+        if is_accepted {
+            stream.first_sequence = Some(head.sequence);
+            stream.opening = Vec::new();
+        }
+        self.busy = change_phase(stream, next, self.busy, now);
+        is_accepted
+    }
+
+    /// Forgets a stream that the backend server does not hold.
+    pub fn remove(&mut self, key: segment::StreamKey) -> Option<HeldStream> {
+        let stream = self.streams.remove(&key)?;
+        self.busy -= u32::from(stream.phase.is_busy());
+        Some(stream)
+    }
+
+    /// Forgets every stream, and gives back those that were open.
+    pub fn clear(&mut self) -> Vec<(segment::StreamKey, HeldStream)> {
+        self.busy = 0;
+        self.open = 0;
+        self.unanswered.clear();
+        let all = self.streams.drain();
+        all.filter(|(_, stream)| stream.phase != WorkPhase::Ended).collect()
+    }
+
+    /// Forgets and gives back an opening that has had no answer since before `limit`.
+    pub fn pop_unanswered(
+        &mut self,
+        limit: ids::UnixMillis,
+    ) -> Option<(segment::StreamKey, HeldStream)> {
+        while let Some((since, key)) = self.unanswered.front().copied() {
+            let is_open = self.streams.get(&key).is_some_and(|s| s.phase == WorkPhase::Opening);
+            if is_open && since > limit {
+                return None;
+            }
+            self.unanswered.pop_front();
+            if is_open {
+                return self.remove(key).map(|stream| (key, stream));
+            }
+        }
+        None
+    }
+
+    /// Forgets what has ended or been idle for `idle_ms`, and counts work that never came as none.
+    pub fn sweep(&mut self, idle_ms: u64, now: ids::UnixMillis) {
+        let mut busy = 0;
+        let mut open = 0;
+        self.streams.retain(|_, stream| {
+            let idle = now.since(stream.touched);
+            let age = now.since(stream.since);
+            match stream.phase {
+                WorkPhase::Expecting if age > EXPECT_MS => stream.phase = WorkPhase::Resting,
+                WorkPhase::Working if age > WORK_LIMIT_MS => stream.phase = WorkPhase::Resting,
+                _ => {}
+            }
+            let is_kept = match stream.phase {
+                WorkPhase::Ended => idle <= ENDED_MS,
+                WorkPhase::Opening => age <= OPENING_MS,
+                _ => idle <= idle_ms,
+            };
+            busy += u32::from(is_kept && stream.phase.is_busy());
+            open += u32::from(is_kept && stream.phase != WorkPhase::Ended);
+            is_kept
+        });
+        self.busy = busy;
+        self.open = open;
+    }
+}
+
+impl HeldStreams {
+    /// A stream, if it is known here.
+    pub fn get(&self, key: segment::StreamKey) -> Option<&HeldStream> {
+        self.streams.get(&key)
+    }
+
+    /// Whether a stream is open here, as far as has been seen.
+    pub fn is_open(&self, key: segment::StreamKey) -> bool {
+        self.streams.get(&key).is_some_and(|stream| {
+            stream.spoken && stream.phase != WorkPhase::Ended
+        })
+    }
+
+    /// How many requests run or wait, openings and first requests on the way included.
+    pub fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// How many streams were open at the last sweep or have been opened since.
+    pub fn open_streams(&self) -> u32 {
+        self.open
+    }
+}
+
+fn stream_at(balancer: net::SocketAddrV4, now: ids::UnixMillis) -> HeldStream {
+    HeldStream {
+        phase: WorkPhase::Opening,
+        first_sequence: None,
+        caller_expects: 0,
+        balancer,
+        opening: Vec::new(),
+        since: now,
+        touched: now,
+        spoken: false,
+        ended_by_caller: false,
+        ended_by_host: false,
+    }
+}
+
+fn change_phase(
+    stream: &mut HeldStream,
+    next: WorkPhase,
+    busy: u32,
+    now: ids::UnixMillis,
+) -> u32 {
+    let before = u32::from(stream.phase.is_busy());
+    if stream.phase != next {
+        stream.since = now;
+    }
+    stream.phase = next;
+    busy + u32::from(next.is_busy()) - before
+}
--- /dev/null
+++ b/crates/core/src/stream/message.rs
@@ -0,0 +1,148 @@
+//! What balancers and agents tell each other, a datagram each.
+
+use std::net;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids;
+use crate::load;
+use crate::stream::host;
+use crate::stream::segment;
+
+/// How an agent is to take a segment.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CarryKind {
+    /// Open the stream, if a slot is free.
+    Open,
+    /// Open the stream, also where it has to wait for a slot.
+    OpenQueued,
+    /// The agent's backend server holds the stream.
+    Held,
+    /// No agent is known to hold the stream: see whether the backend server does.
+    Probe,
+}
+
+/// Why an agent gives a segment back to its balancer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ReturnReason {
+    /// Every slot is in use.
+    Full,
+    /// The backend server itself would not open the stream.
+    Shed,
+    /// The backend server is leaving, gone, or not yet there.
+    NotServing,
+    /// The backend server is of another service.
+    OtherService,
+    /// The backend server has not answered an opening for a while.
+    Silent,
+    /// The backend server does not hold the stream.
+    NotHeld,
+}
+
+impl ReturnReason {
+    /// The reason as logs and metrics name it.
+    pub fn label(self) -> &'static str {
+        match self {
+            ReturnReason::Full => "full",
+            ReturnReason::Shed => "shed",
+            ReturnReason::NotServing => "not_serving",
+            ReturnReason::OtherService => "other_service",
+            ReturnReason::Silent => "silent",
+            ReturnReason::NotHeld => "not_held",
+        }
+    }
+}
+
+/// A segment on its way from a balancer to an agent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarryMessage {
+    /// How to take it.
+    pub kind: CarryKind,
+    /// The service that the balancer's configuration names for it.
+    pub service: ids::ServiceId,
+    /// The generation of that configuration.
+    pub generation: ids::ConfigGeneration,
+    /// The segment.
+    #[serde(with = "serde_bytes")]
+    pub segment: Vec<u8>,
+}
+
+/// A segment on its way back from an agent to a balancer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReturnMessage {
+    /// Why.
+    pub reason: ReturnReason,
+    /// The agent's generation of the configuration.
+    pub generation: ids::ConfigGeneration,
+    /// What is in progress at the agent's backend server.
+    pub load: load::LoadReport,
+    /// The segment.
+    #[serde(with = "serde_bytes")]
+    pub segment: Vec<u8>,
+}
+
+/// What an agent tells every balancer it knows, several times a second.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AgentReport {
+    /// This run of the agent.
+    pub agent: ids::InstanceId,
+    /// The service of its backend server.
+    pub service: ids::ServiceId,
+    /// Its data centre.
+    pub data_centre: u32,
+    /// Whether the backend server takes new streams.
+    pub phase: host::HostPhase,
+    /// For how much longer the backend server is slow after its start, in milliseconds.
+    pub slow_left_ms: u32,
+    /// What is in progress there.
+    pub load: load::LoadReport,
+    /// The generation of the configuration that the agent holds.
+    pub generation: ids::ConfigGeneration,
+}
+
+/// What a balancer tells every agent and balancer it knows.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BalancerReport {
+    /// The generation of the configuration that it holds.
+    pub generation: ids::ConfigGeneration,
+    /// Whether it is on its way out.
+    pub is_leaving: bool,
+    /// Whether its last call to the platform succeeded.
+    pub reaches_platform: bool,
+    /// Where other balancers, heard from lately, take messages.
+    pub balancers: Vec<net::SocketAddrV4>,
+    /// Where agents, heard from lately, take messages; only told to balancers.
+    pub agents: Vec<net::SocketAddrV4>,
+}
+
+/// A message between a balancer and an agent, or between balancers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StreamMessage {
+    /// A balancer hands over a segment.
+    Carry(CarryMessage),
+    /// An agent gives one back.
+    Return(ReturnMessage),
+    /// The sender's backend server holds the stream.
+    Held {
+        /// The stream.
+        key: segment::StreamKey,
+        /// The number that the backend server began the stream with, if the agent saw it.
+        first_sequence: Option<u32>,
+        /// What is in progress there.
+        load: load::LoadReport,
+    },
+    /// Who holds the stream?
+    Find(segment::StreamKey),
+    /// The sender's backend server does not hold the stream.
+    Absent {
+        /// The stream.
+        key: segment::StreamKey,
+        /// Whether the agent has seen all that its backend server took.
+        is_sure: bool,
+    },
+    /// An agent's report.
+    Agent(AgentReport),
+    /// A balancer's report.
+    Balancer(BalancerReport),
+}
--- /dev/null
+++ b/crates/core/src/stream/mod.rs
@@ -0,0 +1,101 @@
+//! Streams: flows of segments with an opening, an end and a reset, whose contents nobody reads.
+//!
+//! A segment carries a piece of a reliable byte stream between a caller and one backend server.
+//! Its checksum is keyed, so the system passes segments on unchanged and learns what it needs from
+//! their heads. Callers' segments come through a balancer; the backend server's go straight back.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`segment`] | the head of a segment, free of its layout on the wire |
+//! | [`message`] | what balancers and agents tell each other |
+//! | [`host`] | which run of the backend server is up, and whether it takes new streams |
+//! | [`held`] | the streams that one backend server holds, and the work in progress there |
+//! | [`agent`] | what one backend server is handed, and what it gives back |
+//! | [`board`] | what one balancer knows of every agent |
+//! | [`note`] | what a decision tells the log |
+//! | [`owners`] | which agent one balancer sends each stream to |
+//! | [`lookup`] | the search for a stream whose owner is not known |
+//! | [`balancer`] | where a caller's segment goes, and what is refused |
+
+pub mod agent;
+pub mod balancer;
+pub mod board;
+pub mod held;
+pub mod host;
+pub mod lookup;
+pub mod message;
+pub mod note;
+pub mod owners;
+pub mod segment;
+
+use std::net;
+use std::sync;
+
+use crate::config;
+use crate::ids;
+
+/// Something that an engine of this module takes in.
+#[derive(Debug)]
+pub enum StreamEvent<'a> {
+    /// A segment from a caller, at a balancer, or from the backend server, at an agent.
+    Segment(segment::StreamSegment<'a>),
+    /// A message from another process.
+    Message {
+        /// Who sent it.
+        from: net::SocketAddrV4,
+        /// What it says.
+        message: &'a message::StreamMessage,
+        /// The head of the segment that it carries, if it carries one.
+        head: Option<segment::SegmentHead>,
+    },
+    /// The configuration has moved forward.
+    Config(sync::Arc<config::ConfigState>),
+    /// Where balancers may be found, by the platform or the settings.
+    Balancers(Vec<net::SocketAddrV4>),
+    /// Whether the last call to the platform succeeded.
+    Platform(bool),
+    /// The backend server's report.
+    HostReport(host::HostReport),
+    /// A run of the backend server has left.
+    HostLeft(String),
+    /// Shut down.
+    Leave,
+    /// Time has passed.
+    Tick,
+}
+
+/// Something for the process to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamAction {
+    /// Send a message to another process.
+    Tell(net::SocketAddrV4, message::StreamMessage),
+    /// Hand a segment to the backend server.
+    HandOver(segment::SegmentMarks, Vec<u8>),
+    /// Send a segment to its caller.
+    Answer(net::Ipv4Addr, Vec<u8>),
+    /// Reset a caller's stream; the number is one that the caller takes.
+    Reset(segment::StreamKey, u32),
+    /// Fetch the configuration from a process that holds a newer one.
+    FetchConfig(net::SocketAddrV4),
+    /// Log what was decided.
+    Note(note::StreamNote),
+}
+
+/// How a process takes part in streams.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamConfig {
+    /// This run.
+    pub instance: ids::InstanceId,
+    /// Where this process takes messages; the port is the same in every process.
+    pub address: net::SocketAddrV4,
+    /// The data centre, as a hash of its name.
+    pub data_centre: u32,
+    /// The service of the backend server beside this process, at an agent.
+    pub service: ids::ServiceId,
+    /// How often the backend server reports, in milliseconds.
+    pub host_report_ms: u64,
+    /// How long a stream may stay open, in seconds.
+    pub stream_limit_s: u64,
+    /// Seeds the random choices.
+    pub seed: u64,
+}
--- /dev/null
+++ b/crates/core/src/stream/note.rs
@@ -0,0 +1,191 @@
+//! What a decision tells the log: what was decided, and the inputs that decided it.
+
+use std::net;
+
+use serde::Serialize;
+
+use crate::ids;
+use crate::stream::host;
+use crate::stream::message;
+use crate::stream::segment;
+
+/// Why a stream was reset or an opening refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ResetReason {
+    /// The configuration names no service for the address.
+    NoService,
+    /// Every agent that was asked refused the opening.
+    AllRefused,
+    /// No agent of the service is known.
+    NoAgent,
+    /// The run of the backend server that held the stream is over.
+    RunOver,
+}
+
+impl ResetReason {
+    /// The reason as metrics name it.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResetReason::NoService => "no_service",
+            ResetReason::AllRefused => "all_refused",
+            ResetReason::NoAgent => "no_agent",
+            ResetReason::RunOver => "run_over",
+        }
+    }
+}
+
+/// One decision.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum StreamNote {
+    /// A balancer sent an opening to an agent.
+    Placed {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// The agent.
+        agent: net::SocketAddrV4,
+        /// How many agents had the opening before.
+        tried: usize,
+        /// What was in progress at the agent by its last report and by what was sent since.
+        busy: u32,
+        /// The age of that report, in milliseconds.
+        report_age_ms: u64,
+        /// The generation of the configuration that named the service.
+        generation: u64,
+    },
+    /// An agent gave a segment back.
+    Returned {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// The agent.
+        agent: net::SocketAddrV4,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A stream was reset or an opening refused.
+    Reset {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// Why.
+        reason: ResetReason,
+        /// The generation of the configuration.
+        generation: u64,
+    },
+    /// A balancer asked agents who holds a stream.
+    Searched {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// How many were asked.
+        asked: usize,
+    },
+    /// A balancer learned who holds a stream that it had asked for.
+    Found {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// The agent.
+        agent: net::SocketAddrV4,
+    },
+    /// A search ended without an owner.
+    NotFound {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// How many agents were asked.
+        asked: usize,
+        /// How many answered that their backend server does not hold it.
+        denied: usize,
+    },
+    /// The backend server opened a stream.
+    Accepted {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// What is in progress at the backend server.
+        busy: u32,
+    },
+    /// The backend server did not answer an opening.
+    Unanswered {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+        /// For how long, in milliseconds.
+        waited_ms: u64,
+    },
+    /// What a balancer believes of an agent has changed.
+    AgentChanged {
+        /// The agent.
+        agent: net::SocketAddrV4,
+        /// This run of it.
+        run: String,
+        /// Whether its backend server takes new streams.
+        phase: host::HostPhase,
+        /// Whether it is heard.
+        is_heard: bool,
+    },
+    /// What an agent believes of its backend server has changed.
+    HostChanged {
+        /// The run.
+        run: String,
+        /// Whether it takes new streams.
+        phase: host::HostPhase,
+        /// How many requests it runs at the same time.
+        slots: u32,
+        /// How many streams of an earlier run were reset.
+        reset: usize,
+    },
+    /// A report of the backend server was late or of an earlier run, and changed nothing.
+    StaleReport {
+        /// The run that sent it.
+        run: String,
+        /// Its number.
+        sequence: u64,
+    },
+    /// A balancer was heard of for the first time, or no longer is.
+    BalancerChanged {
+        /// The balancer.
+        balancer: net::SocketAddrV4,
+        /// Whether it is heard.
+        is_heard: bool,
+    },
+    /// A configuration is in force.
+    ConfigInForce {
+        /// Its generation.
+        generation: ids::ConfigGeneration,
+    },
+}
+
+impl StreamNote {
+    /// Whether the note changes what the process believes, rather than touching one stream.
+    pub fn is_belief(&self) -> bool {
+        matches!(
+            self,
+            StreamNote::AgentChanged { .. }
+                | StreamNote::HostChanged { .. }
+                | StreamNote::StaleReport { .. }
+                | StreamNote::BalancerChanged { .. }
+                | StreamNote::ConfigInForce { .. }
+        )
+    }
+
+    /// A note on a segment that an agent gave back.
+    pub fn returned(
+        stream: segment::StreamKey,
+        agent: net::SocketAddrV4,
+        reason: message::ReturnReason,
+    ) -> StreamNote {
+        StreamNote::Returned { stream, agent, reason: reason.label() }
+    }
+}
+
+fn as_text<S: serde::Serializer>(
+    key: &segment::StreamKey,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(key)
+}
--- /dev/null
+++ b/crates/core/src/stream/owners.rs
@@ -0,0 +1,130 @@
+//! Which agent one balancer sends each stream to: a cache that may vanish.
+//!
+//! The agents know what their backend servers hold; a balancer that has lost an entry asks them.
+
+use std::collections;
+use std::mem;
+use std::net;
+
+use crate::ids;
+use crate::stream::segment;
+
+/// How long an entry that is not used stays at least, in milliseconds.
+///
+/// Longer than callers leave a stream idle, 15 s at the most; a few hundred bytes a stream.
+const GENERATION_MS: u64 = 20_000;
+
+/// An opening that repeats one from longer ago is a new stream from the same port, in milliseconds:
+/// callers give an opening up after 1.4 s.
+const OPENING_MS: u64 = 2_000;
+
+/// What a balancer knows of one stream.
+#[derive(Clone, Debug)]
+pub struct StreamOwner {
+    /// When its first opening came.
+    pub opened: ids::UnixMillis,
+    /// Agents that had its opening, the last one last.
+    pub tried: Vec<net::SocketAddrV4>,
+    /// Agents that had its opening although all their slots were in use.
+    pub queued: Vec<net::SocketAddrV4>,
+    /// Agents whose backend server opened it, with the number it began with.
+    pub holders: Vec<(net::SocketAddrV4, Option<u32>)>,
+    /// Agents to try next, of those that may hold it.
+    pub candidates: Vec<net::SocketAddrV4>,
+    /// Whether the caller has ended it.
+    pub is_ended: bool,
+}
+
+impl StreamOwner {
+    /// A stream whose opening has just come.
+    pub fn new(now: ids::UnixMillis) -> StreamOwner {
+        StreamOwner {
+            opened: now,
+            tried: Vec::new(),
+            queued: Vec::new(),
+            holders: Vec::new(),
+            candidates: Vec::new(),
+            is_ended: false,
+        }
+    }
+
+    /// A stream that an agent holds, or may hold.
+    pub fn held_by(agent: net::SocketAddrV4, now: ids::UnixMillis) -> StreamOwner {
+        StreamOwner { holders: vec![(agent, None)], ..StreamOwner::new(now) }
+    }
+
+    /// Where a segment that acknowledges `acknowledged` goes.
+    ///
+    /// A copy of an opening may have gone to a second agent while the first was silent. Then two
+    /// backend servers hold the stream half open, and the caller's first segment tells whose
+    /// answer it took: its number follows the one that this backend server began with.
+    pub fn target(&self, acknowledged: u32) -> Option<net::SocketAddrV4> {
+        let distance = |first: &Option<u32>| {
+            first.map_or(u32::MAX, |first| acknowledged.wrapping_sub(first.wrapping_add(1)))
+        };
+        let holder = self.holders.iter().min_by_key(|(_, first)| distance(first));
+        holder.map(|(agent, _)| *agent).or(self.tried.last().copied())
+    }
+
+    /// Whether an opening belongs to a new stream from the same port.
+    pub fn is_over(&self, now: ids::UnixMillis) -> bool {
+        self.is_ended || now.since(self.opened) > OPENING_MS
+    }
+
+    /// Forgets that an agent holds the stream.
+    pub fn drop_holder(&mut self, agent: net::SocketAddrV4) {
+        self.holders.retain(|(holder, _)| *holder != agent);
+        self.tried.retain(|tried| *tried != agent);
+    }
+}
+
+type OwnerMap = collections::HashMap<segment::StreamKey, StreamOwner, foldhash::fast::FixedState>;
+
+/// The streams that one balancer knows, in two generations: what is used moves to the younger one,
+/// and the older one is dropped whole.
+#[derive(Debug, Default)]
+pub struct StreamOwners {
+    young: OwnerMap,
+    old: OwnerMap,
+    turned: ids::UnixMillis,
+}
+
+impl StreamOwners {
+    /// The entry of a stream, kept for longer.
+    pub fn touch(&mut self, key: segment::StreamKey) -> Option<&mut StreamOwner> {
+        if let Some(owner) = self.old.remove(&key) {
+            self.young.insert(key, owner);
+        }
+        self.young.get_mut(&key)
+    }
+
+    /// Puts an entry in place of what was known.
+    pub fn put(&mut self, key: segment::StreamKey, owner: StreamOwner) -> &mut StreamOwner {
+        self.old.remove(&key);
+        self.young.entry(key).insert_entry(owner).into_mut()
+    }
+
+    /// Forgets a stream.
+    pub fn remove(&mut self, key: segment::StreamKey) {
+        self.young.remove(&key);
+        self.old.remove(&key);
+    }
+
+    /// Drops the older generation when it is due.
+    pub fn turn(&mut self, now: ids::UnixMillis) {
+        if now.since(self.turned) >= GENERATION_MS {
+            self.turned = now;
+            self.old = mem::take(&mut self.young);
+        }
+    }
+
+    /// How many streams are known.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- a/crates/core/tests/config_forward.rs
+++ b/crates/core/tests/config_forward.rs
@@ -13,6 +13,7 @@
         name: name.to_owned(),
         requests: Some(format!("10.0.0.{}:5683", name.len()).parse().unwrap()),
         datagrams: None,
+        streams: Vec::new(),
         host_slots: slots,
         host_connections: 10,
         rules: manifest::ServiceRules::default(),
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -741,6 +741,7 @@
         name: SERVICES[service].to_owned(),
         requests: Some(request_address(service)),
         datagrams: Some(flow_address(service)),
+        streams: Vec::new(),
         host_slots: 2,
         host_connections: 50,
         rules: manifest::ServiceRules { slow_start_s: 0, ..manifest::ServiceRules::default() },
--- a/crates/node/tests/release_race.rs
+++ b/crates/node/tests/release_race.rs
@@ -129,6 +129,7 @@
         name: (*name).to_owned(),
         requests: Some(address.parse().unwrap()),
         datagrams: None,
+        streams: Vec::new(),
         host_slots: *slots,
         host_connections: 100,
         rules: manifest::ServiceRules::default(),
--- a/crates/standins/src/bench/control.rs
+++ b/crates/standins/src/bench/control.rs
@@ -304,6 +304,7 @@
         name: format!("service-{number:05}"),
         requests: address(5_683),
         datagrams: address(7_000),
+        streams: Vec::new(),
         host_slots,
         host_connections: 2_000,
         rules: manifest::ServiceRules::default(),
--- a/crates/standins/src/bench/flows.rs
+++ b/crates/standins/src/bench/flows.rs
@@ -451,6 +451,7 @@
         name: mesh::SERVICE.to_owned(),
         requests: Some(mesh::request_address()),
         datagrams: Some(mesh::flow_address()),
+        streams: Vec::new(),
         host_slots: 4,
         host_connections: 2_000,
         rules: manifest::ServiceRules {
