--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,6 +9,8 @@
 use std::path;
 
 use gumdrop::Options as _;
+#[cfg(feature = "machines")]
+use rosemaryusher_node::stream::daemon as stream_daemon;
 
 #[derive(Debug, gumdrop::Options)]
 struct AgentOptions {
@@ -45,8 +47,24 @@
     }
     let file = options.settings.ok_or_else(|| eyre::eyre!("--settings FILE is missing"))?;
     let settings = settings::read(&file)?;
-    match options.check {
-        true => Ok(()),
+    match settings.node.streams.is_some() {
+        _ if options.check => Ok(()),
+        true => run_streams(settings, &file),
         false => daemon::run(settings),
     }
 }
+
+#[cfg(feature = "machines")]
+fn run_streams(settings: settings::AgentSettings, file: &path::Path) -> eyre::Result<()> {
+    stream_daemon::run(stream_daemon::StreamParts {
+        settings: settings.node,
+        file: file.to_owned(),
+        service: Some(settings.service),
+        adapter: rosemaryusher_platform::adapter(),
+    })
+}
+
+#[cfg(not(feature = "machines"))]
+fn run_streams(_: settings::AgentSettings, _: &path::Path) -> eyre::Result<()> {
+    eyre::bail!("node.streams: this build has no adapter; build with the feature `machines`")
+}
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -14,7 +14,8 @@
     pub(crate) node: settings::NodeSettings,
     /// The service that the backend server is one of.
     pub(crate) service: String,
-    /// The backend server.
+    /// The backend server; with streams, `node.streams` says where it is.
+    #[serde(default)]
     pub(crate) backend: BackendSettings,
     /// Shutting down.
     #[serde(default)]
@@ -25,7 +26,7 @@
 }
 
 /// Where the backend server is.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct BackendSettings {
     /// Where it takes requests, over HTTP.
@@ -88,8 +89,10 @@
     };
     let backend = &settings.backend;
     need(
-        backend.requests.is_some() || backend.datagrams.is_some(),
-        "backend: has no address; give `requests`, `datagrams` or both",
+        backend.requests.is_some()
+            || backend.datagrams.is_some()
+            || settings.node.streams.as_ref().is_some_and(|s| s.backend_address.is_some()),
+        "backend: has no address; give `requests`, `datagrams` or both, or node.streams",
     );
     need(
         backend.health_path.as_ref().is_none_or(|health| health.starts_with('/')),
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -10,6 +10,8 @@
 use std::process;
 
 use gumdrop::Options as _;
+#[cfg(feature = "machines")]
+use rosemaryusher_node::stream::daemon as stream_daemon;
 
 #[derive(Debug, gumdrop::Options)]
 struct MainOptions {
@@ -84,8 +86,25 @@
 
 fn run(options: &RunOptions) -> eyre::Result<process::ExitCode> {
     let settings = settings::read(&options.settings)?;
-    if !options.check {
-        daemon::run(settings)?;
+    match settings.node.streams.is_some() {
+        _ if options.check => {}
+        true => run_streams(settings, &options.settings)?,
+        false => daemon::run(settings)?,
     }
     Ok(process::ExitCode::SUCCESS)
 }
+
+#[cfg(feature = "machines")]
+fn run_streams(settings: settings::BalancerSettings, file: &path::Path) -> eyre::Result<()> {
+    stream_daemon::run(stream_daemon::StreamParts {
+        settings: settings.node,
+        file: file.to_owned(),
+        service: None,
+        adapter: rosemaryusher_platform::adapter(),
+    })
+}
+
+#[cfg(not(feature = "machines"))]
+fn run_streams(_: settings::BalancerSettings, _: &path::Path) -> eyre::Result<()> {
+    eyre::bail!("node.streams: this build has no adapter; build with the feature `machines`")
+}
--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -150,7 +150,7 @@
                     Some(stream) if self.held.is_open(*key) => message::StreamMessage::Held {
                         key: *key,
                         first_sequence: stream.first_sequence,
-                        load: self.load(now),
+                        load: self.load(),
                     },
                     _ => message::StreamMessage::Absent { key: *key, is_sure: self.is_sure(now) },
                 };
@@ -211,7 +211,7 @@
         match segment.head.is_opening() {
             true => match self.refusal(key, carry, now) {
                 Some(reason) => {
-                    let message = self.returned(reason, segment.bytes, now);
+                    let message = self.returned(reason, segment.bytes);
                     actions.push(note(note::StreamNote::returned(
                         key,
                         self.config.address,
@@ -226,7 +226,7 @@
             },
             false if carry.service != self.config.service => {
                 let reason = message::ReturnReason::OtherService;
-                let message = self.returned(reason, segment.bytes, now);
+                let message = self.returned(reason, segment.bytes);
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             false => {
@@ -308,7 +308,6 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let key = segment.head.key_from_caller();
-        let now = self.swept;
         let reason = match segment.head.is_opening() {
             true => message::ReturnReason::Shed,
             false => message::ReturnReason::NotHeld,
@@ -316,7 +315,7 @@
         self.held.remove(key);
         let balancer =
             net::SocketAddrV4::new(segment.head.marks.origin, self.config.address.port());
-        let message = self.returned(reason, segment.bytes, now);
+        let message = self.returned(reason, segment.bytes);
         actions.push(note(note::StreamNote::returned(key, self.config.address, reason)));
         actions.push(stream::StreamAction::Tell(balancer, message));
     }
@@ -337,7 +336,7 @@
                 let message = message::StreamMessage::Held {
                     key,
                     first_sequence: stream.first_sequence,
-                    load: self.load(now),
+                    load: self.load(),
                 };
                 actions.push(stream::StreamAction::Tell(stream.balancer, message));
             }
@@ -371,7 +370,7 @@
             self.silent_until = now.plus(SILENCE_MS);
             let waited_ms = OPENING_ANSWER_MS;
             actions.push(note(note::StreamNote::Unanswered { stream: key, waited_ms }));
-            let message = self.returned(message::ReturnReason::Silent, &stream.opening, now);
+            let message = self.returned(message::ReturnReason::Silent, &stream.opening);
             actions.push(stream::StreamAction::Tell(stream.balancer, message));
         }
     }
@@ -413,7 +412,7 @@
     }
 
     /// What is in progress at the backend server.
-    pub fn load(&self, _now: ids::UnixMillis) -> load::LoadReport {
+    pub fn load(&self) -> load::LoadReport {
         let slots = self.host.slots();
         let busy = self.held.busy();
         load::LoadReport {
@@ -504,12 +503,11 @@
         &self,
         reason: message::ReturnReason,
         segment: &[u8],
-        now: ids::UnixMillis,
     ) -> message::StreamMessage {
         message::StreamMessage::Return(message::ReturnMessage {
             reason,
             generation: self.state.generation(),
-            load: self.load(now),
+            load: self.load(),
             segment: segment.to_vec(),
         })
     }
@@ -521,7 +519,7 @@
             data_centre: self.config.data_centre,
             phase: self.phase(now),
             slow_left_ms: self.host.slow_left_ms(now),
-            load: self.load(now),
+            load: self.load(),
             generation: self.state.generation(),
         })
     }
--- a/crates/core/src/stream/balancer.rs
+++ b/crates/core/src/stream/balancer.rs
@@ -547,6 +547,11 @@
         reaching.filter(|(address, _)| rank(address) > own).count() < limit
     }
 
+    /// Whether another balancer has been heard lately.
+    pub fn hears_balancer(&self) -> bool {
+        self.peers.values().any(|peer| peer.is_heard)
+    }
+
     /// How many streams and searches there are.
     pub fn sizes(&self) -> (usize, usize) {
         (self.owners.len(), self.searches.len())
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -40,7 +40,7 @@
     };
     peers::receive(hub, &message).await;
     let answer = hub.prober.borrow_mut().compose(hub.generation());
-    packed(&answer)
+    http::HttpReply::packed(&answer)
 }
 
 async fn take_reach(
@@ -73,18 +73,18 @@
     if hub.outputs.send(output).await.is_err() || taken.recv().await.is_err() {
         return http::HttpReply::new(503, "on its way out\n");
     }
-    packed(&())
+    http::HttpReply::packed(&())
 }
 
 fn give_view(hub: &control::ControlHub) -> http::HttpReply {
     let prober = hub.prober.borrow();
     let records: Vec<_> = prober.view().iter().map(|member| &member.record).collect();
-    packed(&records)
+    http::HttpReply::packed(&records)
 }
 
 fn give_config(hub: &control::ControlHub, request: &http::HttpRequest) -> http::HttpReply {
     let since = request.parameter("since").and_then(|text| text.parse().ok()).unwrap_or(0);
-    packed(&hub.state.borrow().delta_since(ids::ConfigGeneration(since)))
+    http::HttpReply::packed(&hub.state.borrow().delta_since(ids::ConfigGeneration(since)))
 }
 
 async fn give_state(hub: &control::ControlHub) -> http::HttpReply {
@@ -129,10 +129,3 @@
     });
     http::HttpReply::json(status, &body)
 }
-
-fn packed<T: serde::Serialize>(value: &T) -> http::HttpReply {
-    match rmp_serde::to_vec(value) {
-        Ok(body) => http::HttpReply::new(200, body).with("content-type", "application/msgpack"),
-        Err(error) => http::HttpReply::new(500, error.to_string()),
-    }
-}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -202,6 +202,14 @@
         HttpReply { status, headers, body: value.to_string().into_bytes() }
     }
 
+    /// A reply in MessagePack.
+    pub fn packed<T: serde::Serialize>(value: &T) -> HttpReply {
+        match rmp_serde::to_vec(value) {
+            Ok(body) => HttpReply::new(200, body).with("content-type", "application/msgpack"),
+            Err(error) => HttpReply::new(500, error.to_string()),
+        }
+    }
+
     /// The same reply with one more header.
     pub fn with(mut self, name: &'static str, value: impl ToString) -> HttpReply {
         self.headers.push((name, value.to_string()));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod rings;
 pub mod settings;
 pub mod shutdown;
+pub mod stream;
 pub mod threads;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::de;
 
+use crate::stream::settings;
+
 /// The settings that every process has.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,6 +27,9 @@
     /// Where the platform's object API is.
     #[serde(default)]
     pub platform: Option<net::SocketAddr>,
+    /// What the platform speaks.
+    #[serde(default)]
+    pub platform_api: PlatformApi,
     /// Control addresses of processes to join by, besides those that the platform lists.
     #[serde(default)]
     pub peers: Vec<net::SocketAddr>,
@@ -34,6 +39,20 @@
     /// The periods of control work.
     #[serde(default)]
     pub control: ControlSettings,
+    /// Streams; with them the process takes segments in place of datagrams and requests.
+    #[serde(default)]
+    pub streams: Option<settings::StreamSettings>,
+}
+
+/// What the platform speaks.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum PlatformApi {
+    /// The object API described in docs/OPERATORS.md.
+    #[default]
+    Objects,
+    /// That of the machines which the adapter is for.
+    Machines,
 }
 
 /// The settings of the logs.
@@ -128,6 +147,12 @@
             (100..=60_000).contains(&control.watch_ms),
             "control.watch_ms: is out of range; use 100 to 60000",
         );
+        need(
+            self.streams.is_some() == (self.platform_api == PlatformApi::Machines),
+            "streams: go with platform_api \"machines\"; give both or neither",
+        );
+        let streams = self.streams.as_ref().map(settings::StreamSettings::check);
+        faults.extend(streams.unwrap_or_default().iter().map(|fault| format!("streams.{fault}")));
         faults
     }
 }
--- /dev/null
+++ b/crates/node/src/stream/control.rs
@@ -0,0 +1,363 @@
+//! The thread that follows the configuration and answers calls.
+
+use std::cell;
+use std::net;
+use std::path;
+use std::rc;
+use std::sync;
+use std::time;
+
+use rand::RngExt as _;
+use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
+use smol::channel;
+
+use crate::http;
+use crate::logs;
+use crate::meters;
+use crate::platform;
+use crate::settings;
+use crate::stream::edge;
+use crate::stream::packets;
+use crate::stream::routes;
+use crate::stream::settings as stream_settings;
+use crate::stream::status;
+
+/// What the keys of balancers' announcements start with.
+const BALANCER_PREFIX: &str = "rosemaryusher-balancers/";
+
+/// How long one watch of the platform waits, in milliseconds.
+///
+/// A connection may fall silent without an end. A change must be in force within 3 s, so a watch
+/// that hears nothing is made anew well within that.
+const WATCH_MS: u64 = 2_000;
+
+/// How long a newcomer waits for a peer's configuration before it asks the platform, in
+/// milliseconds.
+const PEER_CONFIG_MS: u64 = 100;
+
+/// Between two looks at the platform by a process that hears no balancer, in milliseconds.
+const LONELY_MS: u64 = 1_000;
+
+/// The first and the longest pause after a call that failed, in milliseconds: the store's calls
+/// are few and paid for, and a change must be in force within seconds of its return.
+const FIRST_PAUSE_MS: u64 = 100;
+const LONGEST_PAUSE_MS: u64 = 800;
+
+/// How often the settings file is looked at, in milliseconds: it may change without a signal.
+const SETTINGS_MS: u64 = 1_000;
+
+/// The most announcements that are read.
+const SEED_LIMIT: usize = 64;
+
+/// The state of the thread.
+pub(crate) struct StreamHub {
+    pub(crate) own: net::SocketAddrV4,
+    pub(crate) settings: cell::RefCell<settings::NodeSettings>,
+    pub(crate) file: path::PathBuf,
+    pub(crate) settings_text: cell::RefCell<String>,
+    pub(crate) is_balancer: bool,
+    pub(crate) link: cell::RefCell<edge::PlatformLink>,
+    pub(crate) open_platform: fn(net::SocketAddr, time::Duration) -> edge::PlatformLink,
+    pub(crate) state: cell::RefCell<sync::Arc<config::ConfigState>>,
+    pub(crate) inputs: channel::Sender<packets::StreamInput>,
+    pub(crate) status: sync::Arc<status::StreamStatus>,
+    pub(crate) metrics: meters::MetricsPage,
+    pub(crate) executor: rc::Rc<smol::LocalExecutor<'static>>,
+    pub(crate) reaches_platform: cell::Cell<Option<bool>>,
+    pub(crate) announced: cell::Cell<Option<u64>>,
+    pub(crate) is_leaving: cell::Cell<bool>,
+}
+
+/// Starts the duties of the thread.
+pub(crate) async fn start(
+    hub: &rc::Rc<StreamHub>,
+    fetches: channel::Receiver<net::SocketAddrV4>,
+) -> eyre::Result<()> {
+    let executor = hub.executor.clone();
+    let streams = hub.streams();
+    let own = net::SocketAddr::V4(hub.own);
+    let mut addresses = vec![own, streams.ready_address];
+    addresses.extend(streams.report_address);
+    for address in addresses {
+        let listener = http::listen(address).await?;
+        let handler_hub = hub.clone();
+        let handler = rc::Rc::new(move |request| routes::handle(handler_hub.clone(), request));
+        let serving = http::serve(listener, executor.clone(), handler);
+        executor.spawn(async move { crate::threads::report(serving.await) }).detach();
+    }
+    hub.tell_balancers(hub.seeds()).await;
+    executor.spawn(find_balancers(hub.clone())).detach();
+    executor.spawn(fetch_configs(hub.clone(), fetches)).detach();
+    executor.spawn(follow(hub.clone())).detach();
+    executor.spawn(watch_settings(hub.clone())).detach();
+    if hub.is_balancer {
+        executor.spawn(announce(hub.clone())).detach();
+    }
+    Ok(())
+}
+
+/// Announces this balancer on the platform, for newcomers to find.
+async fn announce(hub: rc::Rc<StreamHub>) {
+    let key = hub.announcement_key();
+    let value = serde_json::json!({ "address": hub.own }).to_string();
+    let mut pause_ms = FIRST_PAUSE_MS;
+    while !hub.is_leaving.get() {
+        let store = hub.link.borrow().store.clone();
+        // Writing twice does no harm: the value is the same, and the name is this process's own.
+        match store.put(&key, value.clone(), platform::WriteCondition::Always).await {
+            Ok(version) => {
+                hub.announced.set(Some(version));
+                hub.note_platform(true).await;
+                return;
+            }
+            Err(error) => {
+                log::warn!("cannot announce this process: {error}");
+                hub.note_platform(false).await;
+            }
+        }
+        pause(&mut pause_ms).await;
+    }
+}
+
+/// Takes back this process's announcement.
+///
+/// One that stays behind does no harm but a report into nothing now and then.
+pub(crate) async fn withdraw(hub: &StreamHub) {
+    hub.is_leaving.set(true);
+    let Some(version) = hub.announced.take() else { return };
+    let store = hub.link.borrow().store.clone();
+    if let Err(error) = store.remove(&hub.announcement_key(), version).await {
+        log::info!("the announcement of this process stays behind: {error}");
+    }
+}
+
+/// Reads the announcements until a balancer is heard, and again whenever none is.
+async fn find_balancers(hub: rc::Rc<StreamHub>) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut is_first = true;
+    loop {
+        if status::holds(&hub.status.hears_balancer) && !is_first {
+            pause_ms = FIRST_PAUSE_MS;
+            sleep_ms(LONELY_MS).await;
+            continue;
+        }
+        is_first = false;
+        let store = hub.link.borrow().store.clone();
+        match store.list(BALANCER_PREFIX, SEED_LIMIT).await {
+            Ok(objects) => {
+                hub.note_platform(true).await;
+                let found = objects.iter().filter_map(|object| announced_address(&object.value));
+                hub.tell_balancers(found.collect()).await;
+                // Who has been told of answers within a round trip.
+                sleep_ms(LONELY_MS).await;
+            }
+            Err(error) => {
+                log::warn!("cannot read who the balancers are: {error}");
+                hub.note_platform(false).await;
+                pause(&mut pause_ms).await;
+            }
+        }
+    }
+}
+
+fn announced_address(value: &str) -> Option<net::SocketAddrV4> {
+    let value: serde_json::Value = serde_json::from_str(value).ok()?;
+    value.get("address")?.as_str()?.parse().ok()
+}
+
+/// Fetches the configuration from peers that hold a newer one.
+async fn fetch_configs(hub: rc::Rc<StreamHub>, fetches: channel::Receiver<net::SocketAddrV4>) {
+    while let Ok(peer) = fetches.recv().await {
+        let since = hub.generation();
+        let path = format!("/peer/config?since={}", since.0);
+        let timeout = hub.call_timeout();
+        let address = net::SocketAddr::V4(peer);
+        let call = http::HttpCall::new(hyper::Method::GET, address, path, timeout);
+        let delta = match http::call(call).await {
+            Ok(answer) if answer.status == 200 => {
+                rmp_serde::from_slice::<config::ConfigDelta>(&answer.body).ok()
+            }
+            _ => None,
+        };
+        match delta {
+            Some(delta) => hub.advance(&delta).await,
+            None => log::warn!("cannot fetch the configuration from {peer}"),
+        }
+        // Requests that came meanwhile are for the same change, or their sender repeats them.
+        while fetches.try_recv().is_ok() {}
+    }
+}
+
+/// Follows the operators' configuration while this process is a watcher or hears of nothing else.
+async fn follow(hub: rc::Rc<StreamHub>) {
+    if !hub.is_balancer {
+        // Agents hear from balancers, and take openings for their own service meanwhile.
+        sleep_ms(PEER_CONFIG_MS).await;
+    }
+    let mut pause_ms = FIRST_PAUSE_MS;
+    loop {
+        let has_none = hub.generation() == ids::ConfigGeneration(0);
+        let is_watcher = status::holds(&hub.status.is_watcher);
+        let is_lonely = !status::holds(&hub.status.hears_balancer);
+        let wait_ms = match (has_none, is_watcher, is_lonely) {
+            (true, _, _) => 0,
+            (_, true, _) => WATCH_MS,
+            (_, _, true) => 0,
+            _ => {
+                sleep_ms(jittered(FIRST_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        let configs = hub.link.borrow().configs.clone();
+        let wait = time::Duration::from_millis(wait_ms);
+        match configs.next(hub.generation(), wait).await {
+            Ok(delta) => {
+                hub.note_platform(true).await;
+                pause_ms = FIRST_PAUSE_MS;
+                if let Some(delta) = delta {
+                    hub.advance(&delta).await;
+                } else if wait_ms == 0 {
+                    sleep_ms(jittered(if has_none { FIRST_PAUSE_MS } else { LONELY_MS })).await;
+                }
+            }
+            Err(error) => {
+                log::warn!("cannot follow the configuration: {error}");
+                hub.note_platform(false).await;
+                pause(&mut pause_ms).await;
+            }
+        }
+    }
+}
+
+async fn watch_settings(hub: rc::Rc<StreamHub>) {
+    loop {
+        sleep_ms(SETTINGS_MS).await;
+        reload(&hub).await;
+    }
+}
+
+/// Takes over settings that have changed; a file with a fault changes nothing.
+pub(crate) async fn reload(hub: &StreamHub) {
+    let text = match std::fs::read_to_string(&hub.file) {
+        Ok(text) if text != *hub.settings_text.borrow() => text,
+        Ok(_) => return,
+        Err(error) => {
+            log::warn!("cannot read the settings again: {error}");
+            return;
+        }
+    };
+    let parsed = settings::parse::<SettingsFile>(&text).and_then(|file| {
+        settings::refuse_faults(&file.node.check())?;
+        eyre::ensure!(file.node.streams.is_some(), "node.streams: is missing");
+        Ok(file.node)
+    });
+    hub.settings_text.replace(text);
+    match parsed {
+        Ok(next) => hub.take_settings(next).await,
+        Err(error) => log::error!("the changed settings are not taken over: {error:#}"),
+    }
+}
+
+/// The part of a settings file that may change while the process runs.
+#[derive(serde::Deserialize)]
+struct SettingsFile {
+    node: settings::NodeSettings,
+}
+
+impl StreamHub {
+    /// Moves the configuration forward and passes it on.
+    pub(crate) async fn advance(&self, delta: &config::ConfigDelta) {
+        let mut next = (**self.state.borrow()).clone();
+        match next.advance(delta) {
+            config::DeltaOutcome::Advanced => {}
+            config::DeltaOutcome::Stale | config::DeltaOutcome::Gap => return,
+        }
+        let next = sync::Arc::new(next);
+        *self.state.borrow_mut() = next.clone();
+        self.tell(packets::StreamInput::Config(next)).await;
+    }
+
+    async fn take_settings(&self, next: settings::NodeSettings) {
+        let before = self.settings.replace(next.clone());
+        if before.platform != next.platform
+            && let Some(address) = next.platform
+        {
+            let timeout = time::Duration::from_millis(next.control.call_timeout_ms);
+            *self.link.borrow_mut() = (self.open_platform)(address, timeout);
+        }
+        let seeds = self.seeds();
+        logs::event(&serde_json::json!({
+            "event": "reloaded",
+            "platform": next.platform.map(|address| address.to_string()),
+            "seeds": seeds,
+        }));
+        self.tell_balancers(seeds).await;
+    }
+
+    async fn tell_balancers(&self, balancers: Vec<net::SocketAddrV4>) {
+        let others = balancers.into_iter().filter(|balancer| *balancer != self.own).collect();
+        self.tell(packets::StreamInput::Balancers(others)).await;
+    }
+
+    /// Tells the thread that decides.
+    pub(crate) async fn tell(&self, input: packets::StreamInput) {
+        // It ends only with the process.
+        drop(self.inputs.send(input).await);
+    }
+
+    /// Notes whether the platform answered, and logs when that changes.
+    async fn note_platform(&self, reaches: bool) {
+        if self.reaches_platform.replace(Some(reaches)) != Some(reaches) {
+            let event = if reaches { "platform_regained" } else { "platform_lost" };
+            logs::event(&serde_json::json!({ "event": event }));
+            self.tell(packets::StreamInput::Platform(reaches)).await;
+        }
+    }
+}
+
+impl StreamHub {
+    /// The generation in force.
+    pub(crate) fn generation(&self) -> ids::ConfigGeneration {
+        self.state.borrow().generation()
+    }
+
+    /// The settings of streams.
+    pub(crate) fn streams(&self) -> stream_settings::StreamSettings {
+        let settings = self.settings.borrow();
+        // Settings without streams are refused before the thread starts, and on reload.
+        settings.streams.clone().expect("the settings have streams")
+    }
+
+    /// Where balancers on the machines of the settings would take messages.
+    fn seeds(&self) -> Vec<net::SocketAddrV4> {
+        let at_own_port = |seed: net::SocketAddrV4| {
+            net::SocketAddrV4::new(*seed.ip(), self.own.port())
+        };
+        self.streams().seeds.into_iter().map(at_own_port).collect()
+    }
+
+    fn call_timeout(&self) -> time::Duration {
+        time::Duration::from_millis(self.settings.borrow().control.call_timeout_ms)
+    }
+
+    fn announcement_key(&self) -> String {
+        format!("{BALANCER_PREFIX}{}", self.settings.borrow().name)
+    }
+}
+
+/// Waits, for longer each time.
+async fn pause(pause_ms: &mut u64) {
+    sleep_ms(jittered(*pause_ms)).await;
+    *pause_ms = (*pause_ms * 2).min(LONGEST_PAUSE_MS);
+}
+
+/// Spreads a pause over half to one and a half times its length, so that processes that failed
+/// together don't come back together.
+fn jittered(millis: u64) -> u64 {
+    millis / 2 + rand::rng().random_range(0..millis.max(1))
+}
+
+async fn sleep_ms(millis: u64) {
+    smol::Timer::after(time::Duration::from_millis(millis)).await;
+}
--- /dev/null
+++ b/crates/node/src/stream/daemon.rs
@@ -0,0 +1,200 @@
+//! How a process that takes part in streams starts, reloads and shuts down.
+
+use std::cell;
+use std::net;
+use std::path;
+use std::rc;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_signal::Signals;
+use eyre::WrapErr as _;
+use rand::Rng as _;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::agent;
+use rosemaryusher_core::stream::balancer;
+use smol::channel;
+use smol::stream::StreamExt as _;
+
+use crate::clock;
+use crate::logs;
+use crate::meters;
+use crate::rings;
+use crate::settings;
+use crate::stream::control;
+use crate::stream::edge;
+use crate::stream::journal;
+use crate::stream::packets;
+use crate::stream::role;
+use crate::stream::status;
+use crate::threads;
+
+/// How long the network may go on sending to a process that has said it is not ready, in
+/// milliseconds: two questions half a second apart, and what is under way.
+const ROUTERS_MS: u64 = 1_300;
+
+/// How long before the end of its grace a process leaves at the latest, in milliseconds: the rest
+/// is for the last lines of its log on a slow machine.
+const GRACE_MARGIN_MS: u64 = 1_500;
+
+/// How often a process on its way out looks whether it may go, in milliseconds.
+const LEAVE_POLL_MS: u64 = 50;
+
+/// After so long without a segment none is under way any more, in milliseconds.
+const QUIET_MS: u64 = 300;
+
+/// What a process is started from.
+pub struct StreamParts {
+    /// The settings.
+    pub settings: settings::NodeSettings,
+    /// Where they were read from.
+    pub file: path::PathBuf,
+    /// The service of the backend server beside the process; `None` at a balancer.
+    pub service: Option<String>,
+    /// The adapter to the machines.
+    pub adapter: edge::MachineAdapter,
+}
+
+/// Runs the process until it is told to shut down and has.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened at or a thread cannot be started.
+pub fn run(parts: StreamParts) -> eyre::Result<()> {
+    logs::start(&parts.settings.logs, &parts.settings.name)?;
+    threads::stop_on_panic();
+    let metrics = meters::start()?;
+    let clock = clock::ProcessClock::start();
+    let instance = ids::InstanceId(rand::rng().next_u64() | 1);
+    let Some(streams) = parts.settings.streams.clone() else {
+        eyre::bail!("node.streams: is missing; give the addresses of streams");
+    };
+    let net::SocketAddr::V4(own) = parts.settings.packet_address else {
+        eyre::bail!("node.packet_address: must be an IPv4 address");
+    };
+    let config = stream::StreamConfig {
+        instance,
+        address: own,
+        data_centre: ids::ServiceId::of_name(&parts.settings.data_centre).0,
+        service: parts.service.as_deref().map(ids::ServiceId::of_name).unwrap_or_default(),
+        host_report_ms: streams.report_period_ms,
+        stream_limit_s: streams.stream_limit_s,
+        seed: rand::rng().next_u64(),
+    };
+    let is_balancer = parts.service.is_none();
+    let engine = match is_balancer {
+        true => role::StreamRole::Balancer(Box::new(balancer::StreamBalancer::new(config))),
+        false => role::StreamRole::Agent(Box::new(agent::StreamAgent::new(config, clock.now()))),
+    };
+    let (inputs, input_ends) = rings::ring();
+    let (fetches, fetch_ends) = channel::bounded(1);
+    let status = sync::Arc::new(status::StreamStatus::default());
+    let packets = packets::PacketThread {
+        engine,
+        codec: parts.adapter.codec,
+        clock,
+        segments: bind(streams.segment_address)?,
+        messages: bind(own)?,
+        backend: streams.backend_address,
+        caller_port: streams.network_address.port(),
+        inputs: input_ends,
+        fetches,
+        status: status.clone(),
+        journal: journal::StreamJournal::new(clock.now()),
+    };
+    threads::spawn("packets", move || smol::block_on(packets.run()))?;
+    logs::event(&serde_json::json!({
+        "event": "started",
+        "instance": instance.to_string(),
+        "address": own,
+        "segments": streams.segment_address,
+        "service": parts.service,
+        "version": env!("CARGO_PKG_VERSION"),
+    }));
+
+    let executor = rc::Rc::new(smol::LocalExecutor::new());
+    let timeout = time::Duration::from_millis(parts.settings.control.call_timeout_ms);
+    let Some(platform) = parts.settings.platform else {
+        eyre::bail!("node.platform: is missing; give the platform's address");
+    };
+    let hub = rc::Rc::new(control::StreamHub {
+        own,
+        link: cell::RefCell::new((parts.adapter.open_platform)(platform, timeout)),
+        open_platform: parts.adapter.open_platform,
+        settings: cell::RefCell::new(parts.settings),
+        settings_text: cell::RefCell::new(
+            std::fs::read_to_string(&parts.file).wrap_err("cannot read the settings")?,
+        ),
+        file: parts.file,
+        is_balancer,
+        state: cell::RefCell::default(),
+        inputs,
+        status,
+        metrics,
+        executor: executor.clone(),
+        reaches_platform: cell::Cell::new(None),
+        announced: cell::Cell::new(None),
+        is_leaving: cell::Cell::new(false),
+    });
+    smol::block_on(executor.run(async {
+        control::start(&hub, fetch_ends).await?;
+        serve_signals(&hub).await?;
+        leave(&hub).await;
+        Ok(())
+    }))
+}
+
+fn bind(address: net::SocketAddrV4) -> eyre::Result<smol::Async<net::UdpSocket>> {
+    smol::Async::<net::UdpSocket>::bind(address)
+        .wrap_err_with(|| format!("cannot listen at {address}"))
+}
+
+/// Handles signals until one asks the process to shut down.
+async fn serve_signals(hub: &control::StreamHub) -> eyre::Result<()> {
+    let wanted = [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
+    let mut signals = Signals::new(wanted)?;
+    while let Some(signal) = signals.next().await {
+        match signal? {
+            async_signal::Signal::Hup => control::reload(hub).await,
+            _ => return Ok(()),
+        }
+    }
+    Ok(())
+}
+
+/// Leaves once nothing more arrives, or time is up.
+///
+/// Nothing has to be handed over: any balancer finds a stream's owner, and a backend server keeps
+/// its streams while its agent is away.
+async fn leave(hub: &control::StreamHub) {
+    logs::event(&serde_json::json!({ "event": "leaving" }));
+    hub.tell(packets::StreamInput::Leave).await;
+    control::withdraw(hub).await;
+    let began = time::Instant::now();
+    let grace = time::Duration::from_secs(hub.streams().grace_s);
+    let limit = grace.saturating_sub(time::Duration::from_millis(GRACE_MARGIN_MS));
+    let least = match hub.is_balancer {
+        true => time::Duration::from_millis(ROUTERS_MS),
+        false => time::Duration::ZERO,
+    };
+    let mut seen = (0, began);
+    while began.elapsed() < limit {
+        let arrivals = hub.status.arrivals.load(atomic::Ordering::Relaxed);
+        if arrivals != seen.0 {
+            seen = (arrivals, time::Instant::now());
+        }
+        let is_quiet = seen.1.elapsed() >= time::Duration::from_millis(QUIET_MS);
+        let is_done = match hub.is_balancer {
+            true => is_quiet,
+            false => !status::holds(&hub.status.is_busy),
+        };
+        if is_done && began.elapsed() >= least {
+            break;
+        }
+        smol::Timer::after(time::Duration::from_millis(LEAVE_POLL_MS)).await;
+    }
+    logs::event(&serde_json::json!({ "event": "left", "after_ms": began.elapsed().as_millis() }));
+    logs::flush();
+}
--- /dev/null
+++ b/crates/node/src/stream/journal.rs
@@ -0,0 +1,88 @@
+//! Log lines and metrics of decisions, bounded.
+
+use rosemaryusher_core::ids;
+use rosemaryusher_core::stream::note;
+
+use crate::logs;
+
+/// How many lines on single streams are written a second.
+///
+/// A line costs some 10 us; a balancer with a twentieth of a core and a hundred new streams a
+/// second must not spend its time on them.
+const LINES_PER_S: u64 = 30;
+
+/// How many such lines may follow each other at once: the first moments of a trouble tell most.
+const LINE_BURST: u64 = 300;
+
+/// Writes notes as log lines and counts them.
+#[derive(Debug)]
+pub(crate) struct StreamJournal {
+    credit_ms: u64,
+    refilled: ids::UnixMillis,
+    left_out: u64,
+}
+
+impl StreamJournal {
+    /// A journal that has written nothing.
+    pub(crate) fn new(now: ids::UnixMillis) -> StreamJournal {
+        StreamJournal { credit_ms: LINE_BURST * 1_000 / LINES_PER_S, refilled: now, left_out: 0 }
+    }
+
+    /// Writes a note, or counts it as left out.
+    pub(crate) fn write(&mut self, note: &note::StreamNote, now: ids::UnixMillis) {
+        count(note);
+        if !note.is_belief() && !self.take_line(now) {
+            self.left_out += 1;
+            return;
+        }
+        if self.left_out > 0 {
+            let left_out = std::mem::take(&mut self.left_out);
+            logs::event(&serde_json::json!({ "event": "left_out", "lines": left_out }));
+        }
+        logs::event(note);
+    }
+
+    fn take_line(&mut self, now: ids::UnixMillis) -> bool {
+        let most = LINE_BURST * 1_000 / LINES_PER_S;
+        self.credit_ms = (self.credit_ms + now.since(self.refilled)).min(most);
+        self.refilled = now;
+        let cost = 1_000 / LINES_PER_S;
+        let has_credit = self.credit_ms >= cost;
+        if has_credit {
+            self.credit_ms -= cost;
+        }
+        has_credit
+    }
+}
+
+fn count(note: &note::StreamNote) {
+    match note {
+        note::StreamNote::Placed { .. } => {
+            metrics::counter!("rosemaryusher_streams_placed_total").increment(1);
+        }
+        note::StreamNote::Returned { reason, .. } => {
+            metrics::counter!("rosemaryusher_streams_returned_total", "reason" => *reason)
+                .increment(1);
+        }
+        note::StreamNote::Reset { reason, .. } => {
+            metrics::counter!("rosemaryusher_streams_reset_total", "reason" => reason.label())
+                .increment(1);
+        }
+        note::StreamNote::Searched { .. } => {
+            metrics::counter!("rosemaryusher_streams_searched_total").increment(1);
+        }
+        note::StreamNote::NotFound { .. } => {
+            metrics::counter!("rosemaryusher_streams_not_found_total").increment(1);
+        }
+        note::StreamNote::Accepted { .. } => {
+            metrics::counter!("rosemaryusher_streams_accepted_total").increment(1);
+        }
+        note::StreamNote::Unanswered { .. } => {
+            metrics::counter!("rosemaryusher_streams_unanswered_total").increment(1);
+        }
+        note::StreamNote::ConfigInForce { generation } => {
+            metrics::gauge!("rosemaryusher_config_generation").set(generation.0 as f64);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/stream/mod.rs
@@ -0,0 +1,22 @@
+//! The edges of a process that takes part in streams.
+//!
+//! | module | does |
+//! |---|---|
+//! | [`edge`] | what an adapter to a kind of machines provides |
+//! | [`settings`] | the settings of streams |
+//! | [`role`] | the engine: a balancer's or an agent's |
+//! | `packets` | the thread that reads, decides and writes segments and messages |
+//! | `control` | the thread that follows the configuration and answers calls |
+//! | `routes` | calls of other processes, of the backend server and of operators |
+//! | `journal` | log lines and metrics of decisions, bounded |
+//! | [`daemon`] | how a process starts, reloads and shuts down |
+
+mod control;
+pub mod daemon;
+pub mod edge;
+mod journal;
+mod packets;
+pub mod role;
+mod routes;
+pub mod settings;
+mod status;
--- /dev/null
+++ b/crates/node/src/stream/role.rs
@@ -0,0 +1,110 @@
+//! The engine of a process: a balancer's or an agent's.
+
+use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::agent;
+use rosemaryusher_core::stream::balancer;
+
+/// How many balancers watch the platform; the others hear from these.
+///
+/// Each watch counts as a read, so their number must not grow with the fleet. Three see a change
+/// even while one is down and another has just been replaced.
+const WATCHER_COUNT: usize = 3;
+
+/// The engine of a process.
+#[derive(Debug)]
+pub enum StreamRole {
+    /// A balancer's.
+    Balancer(Box<balancer::StreamBalancer>),
+    /// An agent's.
+    Agent(Box<agent::StreamAgent>),
+}
+
+impl StreamRole {
+    /// Takes in an event.
+    pub fn handle(
+        &mut self,
+        now: ids::UnixMillis,
+        event: stream::StreamEvent<'_>,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        match self {
+            StreamRole::Balancer(engine) => engine.handle(now, event, actions),
+            StreamRole::Agent(engine) => engine.handle(now, event, actions),
+        }
+    }
+}
+
+impl StreamRole {
+    /// The configuration in force here.
+    pub fn state(&self) -> &config::ConfigState {
+        match self {
+            StreamRole::Balancer(engine) => engine.state(),
+            StreamRole::Agent(engine) => engine.state(),
+        }
+    }
+
+    /// Whether the process does its work as far as it can tell.
+    pub fn is_ready(&self) -> bool {
+        match self {
+            StreamRole::Balancer(engine) => engine.is_ready(),
+            StreamRole::Agent(engine) => engine.hears_balancer(),
+        }
+    }
+
+    /// Whether it is one of the few that watch the platform.
+    pub fn is_watcher(&self) -> bool {
+        match self {
+            StreamRole::Balancer(engine) => engine.is_watcher(WATCHER_COUNT),
+            StreamRole::Agent(_) => false,
+        }
+    }
+
+    /// Whether it hears of changes from balancers.
+    pub fn hears_balancer(&self) -> bool {
+        match self {
+            StreamRole::Balancer(engine) => engine.hears_balancer(),
+            StreamRole::Agent(engine) => engine.hears_balancer(),
+        }
+    }
+
+    /// Whether work is in progress that a shutdown waits for.
+    pub fn is_busy(&self) -> bool {
+        match self {
+            StreamRole::Balancer(_) => false,
+            StreamRole::Agent(engine) => engine.is_busy(),
+        }
+    }
+
+    /// What operators see of the decisions.
+    pub fn dump(&self, now: ids::UnixMillis) -> serde_json::Value {
+        match self {
+            StreamRole::Balancer(engine) => dump_balancer(engine, now),
+            StreamRole::Agent(engine) => serde_json::json!({
+                "host": engine.phase(now),
+                "load": engine.load(),
+                "streams": engine.streams(),
+                "hears_balancer": engine.hears_balancer(),
+            }),
+        }
+    }
+}
+
+fn dump_balancer(engine: &balancer::StreamBalancer, now: ids::UnixMillis) -> serde_json::Value {
+    let (owners, searches) = engine.sizes();
+    let agents = engine.board().addresses().map(|address| {
+        let known = engine.board().get(address);
+        let report = known.and_then(|known| known.report.as_ref());
+        serde_json::json!({
+            "address": address,
+            "unheard_ms": known.map(|known| now.since(known.heard)),
+            "report": report,
+        })
+    });
+    serde_json::json!({
+        "owners": owners,
+        "searches": searches,
+        "agents": agents.collect::<Vec<_>>(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/stream/settings.rs
@@ -0,0 +1,58 @@
+//! The settings of streams.
+
+use std::net;
+
+use serde::Deserialize;
+
+/// The settings of a process that takes part in streams.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StreamSettings {
+    /// Where segments arrive: callers' at a balancer, the backend server's at an agent.
+    pub segment_address: net::SocketAddrV4,
+    /// Where the network sends datagrams to this machine. Callers take theirs at the same port.
+    pub network_address: net::SocketAddrV4,
+    /// Where the backend server takes segments; only at an agent.
+    #[serde(default)]
+    pub backend_address: Option<net::SocketAddrV4>,
+    /// Where the backend server sends its reports; only at an agent.
+    #[serde(default)]
+    pub report_address: Option<net::SocketAddr>,
+    /// Where the network asks whether to send segments here.
+    pub ready_address: net::SocketAddr,
+    /// Machines that may run balancers, besides those that the platform lists. Only the IP
+    /// addresses count: every process takes messages at the same port.
+    #[serde(default)]
+    pub seeds: Vec<net::SocketAddrV4>,
+    /// How often a backend server reports, in milliseconds.
+    pub report_period_ms: u64,
+    /// How long a stream may stay open, in seconds.
+    pub stream_limit_s: u64,
+    /// How long a process may take to shut down before it is killed, in seconds.
+    pub grace_s: u64,
+}
+
+impl StreamSettings {
+    /// Finds every fault that types do not rule out.
+    pub fn check(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut need = |holds: bool, fault: &str| {
+            if !holds {
+                faults.push(fault.to_owned());
+            }
+        };
+        need(self.segment_address.port() != 0, "segment_address: has port 0; give the port");
+        need(self.network_address.port() != 0, "network_address: has port 0; give the port");
+        need(
+            (50..=60_000).contains(&self.report_period_ms),
+            "report_period_ms: is out of range; use 50 to 60000",
+        );
+        need(self.stream_limit_s > 0, "stream_limit_s: is zero; give at least 1");
+        need(self.grace_s >= 2, "grace_s: is too short; give at least 2");
+        need(
+            self.backend_address.is_some() == self.report_address.is_some(),
+            "backend_address: goes with report_address; give both or neither",
+        );
+        faults
+    }
+}
--- /dev/null
+++ b/crates/node/src/stream/status.rs
@@ -0,0 +1,28 @@
+//! What the control thread sees of the thread that decides.
+
+use std::sync::atomic;
+
+/// Facts that change by themselves; each is read alone, so none needs a lock.
+#[derive(Debug, Default)]
+pub(crate) struct StreamStatus {
+    /// Whether the process does its work.
+    pub(crate) is_ready: atomic::AtomicBool,
+    /// Whether it is one of the few that watch the platform.
+    pub(crate) is_watcher: atomic::AtomicBool,
+    /// Whether it hears of changes from balancers.
+    pub(crate) hears_balancer: atomic::AtomicBool,
+    /// Whether work is in progress.
+    pub(crate) is_busy: atomic::AtomicBool,
+    /// How many segments have come in.
+    pub(crate) arrivals: atomic::AtomicU64,
+}
+
+/// Reads a fact.
+pub(crate) fn holds(fact: &atomic::AtomicBool) -> bool {
+    fact.load(atomic::Ordering::Relaxed)
+}
+
+/// Writes a fact.
+pub(crate) fn set(fact: &atomic::AtomicBool, value: bool) {
+    fact.store(value, atomic::Ordering::Relaxed);
+}
--- a/crates/node/src/threads.rs
+++ b/crates/node/src/threads.rs
@@ -6,6 +6,8 @@
 
 use eyre::WrapErr as _;
 
+use crate::logs;
+
 /// The exit code of a process that a broken invariant has stopped.
 const BROKEN_INVARIANT: i32 = 101;
 
@@ -36,6 +38,7 @@
 pub fn stop_on_panic() {
     panic::set_hook(Box::new(|info| {
         log::error!("broken invariant: {info}");
+        logs::flush();
         process::exit(BROKEN_INVARIANT);
     }));
 }
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -2,7 +2,8 @@
 
 use std::fmt;
 
-use rosemaryusher_core::message;
+use serde::Serialize;
+use serde::de;
 
 /// The version of the packets that this build sends and understands.
 ///
@@ -45,7 +46,7 @@
 /// # Errors
 ///
 /// [`PacketError::TooLong`] if it does not fit a datagram.
-pub fn encode(packet: &message::PeerPacket) -> Result<Vec<u8>, PacketError> {
+pub fn encode<T: Serialize>(packet: &T) -> Result<Vec<u8>, PacketError> {
     let mut bytes = vec![PACKET_VERSION];
     rmp_serde::encode::write(&mut bytes, packet).map_err(|_| PacketError::Damaged)?;
     match bytes.len() {
@@ -59,7 +60,7 @@
 /// # Errors
 ///
 /// Says whether the bytes are empty, of another version, or damaged.
-pub fn decode(bytes: &[u8]) -> Result<message::PeerPacket, PacketError> {
+pub fn decode<T: de::DeserializeOwned>(bytes: &[u8]) -> Result<T, PacketError> {
     match bytes.split_first() {
         None => Err(PacketError::Empty),
         Some((&PACKET_VERSION, body)) => {
