Reset streams that no backend server holds; let openings wait a moment for room

Ruled out: slow starts of the processes (first opening placed some 10 ms after a balancer is up).

Change: agents announce themselves too, each process before it reads who else is there; a search in which all that are announced deny ends with a reset.

--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -113,13 +113,11 @@
                     self.state = state;
                 }
             }
-            stream::StreamEvent::Balancers(balancers) => {
-                for balancer in balancers {
-                    self.balancers
-                        .entry(balancer)
-                        .or_insert(KnownBalancer { heard: now, is_heard: false });
-                }
-                self.report(now, actions);
+            stream::StreamEvent::Seeds(seeds) => self.meet(&seeds, now, actions),
+            stream::StreamEvent::Members(members) => {
+                let balancers = members.iter().filter(|member| member.service.is_none());
+                let balancers: Vec<_> = balancers.map(|member| member.address).collect();
+                self.meet(&balancers, now, actions);
             }
             stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
@@ -163,6 +161,19 @@
         }
     }
 
+    fn meet(
+        &mut self,
+        balancers: &[net::SocketAddrV4],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        for balancer in balancers {
+            let unknown = KnownBalancer { heard: now, is_heard: false };
+            self.balancers.entry(*balancer).or_insert(unknown);
+        }
+        self.report(now, actions);
+    }
+
     fn hear_balancer(
         &mut self,
         from: net::SocketAddrV4,
@@ -436,6 +447,11 @@
         self.balancers.values().any(|known| known.is_heard)
     }
 
+    /// Whether the backend server is there, as far as it has not said that it has left.
+    pub fn has_host(&self) -> bool {
+        self.host.is_there()
+    }
+
     /// Whether requests are in progress at the backend server.
     pub fn is_busy(&self) -> bool {
         self.held.busy() > 0
--- a/crates/core/src/stream/balancer.rs
+++ b/crates/core/src/stream/balancer.rs
@@ -16,6 +16,7 @@
 use crate::stream::message;
 use crate::stream::note;
 use crate::stream::owners;
+use crate::stream::parked;
 use crate::stream::segment;
 
 /// How often every agent and balancer hears of this one, in milliseconds.
@@ -50,8 +51,11 @@
     board: board::AgentBoard,
     owners: owners::StreamOwners,
     searches: lookup::OwnerSearches,
+    parked: parked::ParkedOpenings,
     peers: collections::BTreeMap<net::SocketAddrV4, PeerBalancer>,
     random: rngs::SmallRng,
+    /// Whether the list of announced processes has been read in this run.
+    knows_members: bool,
     reported: ids::UnixMillis,
     reaches_platform: bool,
     is_leaving: bool,
@@ -65,8 +69,10 @@
             board: board::AgentBoard::new(config.data_centre),
             owners: owners::StreamOwners::default(),
             searches: lookup::OwnerSearches::default(),
+            parked: parked::ParkedOpenings::default(),
             peers: collections::BTreeMap::new(),
             random: rngs::SmallRng::seed_from_u64(config.seed),
+            knows_members: false,
             reported: ids::UnixMillis(0),
             reaches_platform: false,
             is_leaving: false,
@@ -94,12 +100,13 @@
                     self.report(now, actions);
                 }
             }
-            stream::StreamEvent::Balancers(balancers) => {
-                for balancer in balancers {
+            stream::StreamEvent::Seeds(seeds) => {
+                for balancer in seeds {
                     self.meet(balancer, now);
                 }
                 self.report(now, actions);
             }
+            stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
             stream::StreamEvent::HostReport(_) | stream::StreamEvent::HostLeft(_) => {}
             stream::StreamEvent::Leave => {
@@ -133,10 +140,26 @@
         });
         match target {
             Some(agent) => self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key),
-            None => self.search(key, service, segment.bytes, now, actions),
+            None => self.search(key, service, segment, now, actions),
         }
     }
 
+    fn take_members(
+        &mut self,
+        members: &[stream::AnnouncedMember],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        for member in members {
+            match member.service {
+                Some(_) => self.board.note_address(member.address, now),
+                None => self.meet(member.address, now),
+            }
+        }
+        self.knows_members = true;
+        self.report(now, actions);
+    }
+
     fn open(
         &mut self,
         key: segment::StreamKey,
@@ -151,6 +174,7 @@
         };
         let holder = owner.and_then(|owner| owner.holders.first().map(|(agent, _)| *agent));
         match holder {
+            _ if self.parked.contains(key) => {}
             // The answer to an earlier copy was lost on its way to the caller.
             Some(agent) if self.board.is_fresh(agent, now) => {
                 self.carry(agent, message::CarryKind::Open, segment.bytes, actions, key);
@@ -178,14 +202,14 @@
         let (kind, choice) = match free {
             Some(choice) if choice.has_room => (message::CarryKind::Open, choice),
             _ if owner.queued.len() >= QUEUED_TRIES => {
-                return self.reset(key, 0, note::ResetReason::AllRefused, actions);
+                return self.park(key, parked::ParkReason::NoRoom, bytes, now, actions);
             }
             _ => match self.board.choose(service, &owner.queued, now, &mut self.random) {
                 Some(choice) => (message::CarryKind::OpenQueued, choice),
                 None if owner.queued.is_empty() => {
-                    return self.reset(key, 0, note::ResetReason::NoAgent, actions);
+                    return self.park(key, parked::ParkReason::NoAgent, bytes, now, actions);
                 }
-                None => return self.reset(key, 0, note::ResetReason::AllRefused, actions),
+                None => return self.park(key, parked::ParkReason::NoRoom, bytes, now, actions),
             },
         };
         if kind == message::CarryKind::OpenQueued {
@@ -205,6 +229,42 @@
         self.carry(choice.address, kind, bytes, actions, key);
     }
 
+    /// Has an opening wait for room, or refuses it where it has waited long enough.
+    fn park(
+        &mut self,
+        key: segment::StreamKey,
+        reason: parked::ParkReason,
+        bytes: &[u8],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let opened = self.owners.touch(key).map_or(now, |owner| owner.opened);
+        let opening = parked::ParkedOpening { key, bytes: bytes.to_vec() };
+        if self.parked.park(opening, reason, opened, now) {
+            return;
+        }
+        let reason = match reason {
+            parked::ParkReason::NoRoom => note::ResetReason::AllRefused,
+            parked::ParkReason::NoAgent => note::ResetReason::NoAgent,
+        };
+        self.reset(key, 0, reason, actions);
+    }
+
+    /// Tries the openings that wait once more, with all agents.
+    fn place_parked(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
+        for opening in self.parked.take_all() {
+            let Some(service) = self.service_at(opening.key) else {
+                self.reset(opening.key, 0, note::ResetReason::NoService, actions);
+                continue;
+            };
+            if let Some(owner) = self.owners.touch(opening.key) {
+                owner.tried.clear();
+                owner.queued.clear();
+            }
+            self.place(opening.key, service, &opening.bytes, now, actions);
+        }
+    }
+
     fn carry(
         &self,
         agent: net::SocketAddrV4,
@@ -230,13 +290,13 @@
         &mut self,
         key: segment::StreamKey,
         service: Option<ids::ServiceId>,
-        bytes: &[u8],
+        segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let holders = self.board.holders(service);
         let asked = holders.len();
-        if self.searches.wait(key, service, asked, bytes, now) != lookup::WaitOutcome::Began {
+        if self.searches.wait(key, service, asked, segment, now) != lookup::WaitOutcome::Began {
             return;
         }
         actions.push(note(note::StreamNote::Searched { stream: key, asked }));
@@ -377,7 +437,10 @@
             None if head.is_opening() => {
                 self.reset(key, 0, note::ResetReason::NoService, actions);
             }
-            _ => self.try_next(key, from, &returned.segment, now, actions),
+            _ => {
+                let segment = segment::StreamSegment { head: *head, bytes: &returned.segment };
+                self.try_next(key, from, &segment, now, actions);
+            }
         }
     }
 
@@ -386,7 +449,7 @@
         &mut self,
         key: segment::StreamKey,
         from: net::SocketAddrV4,
-        bytes: &[u8],
+        segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
@@ -395,15 +458,22 @@
         if owner.holders.is_empty() && let Some(agent) = owner.candidates.pop() {
             owner.holders.push((agent, None));
         }
-        let (target, is_ended) = (owner.holders.first().map(|(agent, _)| *agent), owner.is_ended);
+        let target = owner.holders.first().map(|(agent, _)| *agent);
+        let (is_ended, is_absent) = (owner.is_ended, owner.is_absent_elsewhere);
         match target {
-            Some(agent) => self.carry(agent, message::CarryKind::Held, bytes, actions, key),
+            Some(agent) => {
+                self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key);
+            }
             // The last segments of a stream that its caller has ended matter to nobody.
             None if is_ended => self.owners.remove(key),
+            None if is_absent => {
+                let expected = segment.head.acknowledged;
+                self.reset(key, expected, note::ResetReason::HeldNowhere, actions);
+            }
             None => {
                 self.owners.remove(key);
                 let service = self.service_at(key);
-                self.search(key, service, bytes, now, actions);
+                self.search(key, service, segment, now, actions);
             }
         }
     }
@@ -435,6 +505,11 @@
     }
 
     /// Ends a search in which no agent said that it holds the stream.
+    ///
+    /// Where every process that is announced has answered so, the stream is open nowhere: its
+    /// backend server has died. Its caller is told, and tries again within its aim; without it, it
+    /// would send into nothing until its deadline. Whoever holds a stream is announced: each
+    /// process announces itself before it reads who else is, so of two one sees the other.
     fn conclude(
         &mut self,
         key: segment::StreamKey,
@@ -442,8 +517,13 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        let is_complete = self.knows_members && search.is_answered() && search.asked > 0;
         let mut unsure = search.unsure;
         let Some(agent) = unsure.pop() else {
+            if is_complete {
+                let expected = search.caller_expects;
+                return self.reset(key, expected, note::ResetReason::HeldNowhere, actions);
+            }
             actions.push(note(note::StreamNote::NotFound {
                 stream: key,
                 asked: search.asked,
@@ -454,6 +534,7 @@
         // Agents that started later than their backend servers find out by handing the segment on.
         let owner = owners::StreamOwner {
             candidates: unsure,
+            is_absent_elsewhere: is_complete,
             ..owners::StreamOwner::held_by(agent, now)
         };
         self.owners.put(key, owner);
@@ -477,6 +558,7 @@
                 }));
             }
         }
+        self.place_parked(now, actions);
         self.owners.turn(now);
         if now.since(self.reported) >= REPORT_MS {
             self.forget_peers(now, actions);
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -173,7 +173,8 @@
         let may_hold = |known: &KnownAgent| match (&known.report, service) {
             (Some(report), Some(service)) => report.service == service,
             (Some(_), None) => true,
-            (None, _) => false,
+            // It may be of the service, and hold what nobody else does.
+            (None, _) => true,
         };
         self.agents.iter().filter(|(_, k)| may_hold(k)).map(|(address, _)| *address).collect()
     }
--- a/crates/core/src/stream/host.rs
+++ b/crates/core/src/stream/host.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    /// Whether a run has reported and has not left.
+    pub fn is_there(&self) -> bool {
+        self.run.as_ref().is_some_and(|run| run.phase != HostPhase::Gone)
+    }
+
     /// The run that is up, if any has reported.
     pub fn run(&self) -> Option<&str> {
         self.run.as_ref().map(|run| run.report.run.as_str())
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -35,12 +35,15 @@
     pub denied: usize,
     /// Agents that do not know, since they started later than their backend servers.
     pub unsure: Vec<net::SocketAddrV4>,
+    /// The number that the caller expects next.
+    pub caller_expects: u32,
     /// The caller's segments.
     pub waiting: Vec<Vec<u8>>,
 }
 
 impl OwnerSearch {
-    fn is_answered(&self) -> bool {
+    /// Whether every agent that was asked has answered.
+    pub fn is_answered(&self) -> bool {
         self.denied + self.unsure.len() >= self.asked
     }
 }
@@ -69,9 +72,10 @@
         key: segment::StreamKey,
         service: Option<ids::ServiceId>,
         asked: usize,
-        bytes: &[u8],
+        segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
     ) -> WaitOutcome {
+        let bytes = segment.bytes;
         let is_full = self.searches.len() >= SEARCHES;
         match self.searches.get_mut(&key) {
             Some(search) if search.waiting.len() < WAITING_SEGMENTS => {
@@ -83,7 +87,15 @@
             None => {
                 let waiting = vec![bytes.to_vec()];
                 let (denied, unsure) = (0, Vec::new());
-                let search = OwnerSearch { service, began: now, asked, denied, unsure, waiting };
+                let search = OwnerSearch {
+                    service,
+                    began: now,
+                    asked,
+                    denied,
+                    unsure,
+                    caller_expects: segment.head.acknowledged,
+                    waiting,
+                };
                 self.searches.insert(key, search);
                 WaitOutcome::Began
             }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -14,6 +14,7 @@
 //! | [`board`] | what one balancer knows of every agent |
 //! | [`note`] | what a decision tells the log |
 //! | [`owners`] | which agent one balancer sends each stream to |
+//! | [`parked`] | openings that wait a moment for room |
 //! | [`lookup`] | the search for a stream whose owner is not known |
 //! | [`balancer`] | where a caller's segment goes, and what is refused |
 
@@ -26,11 +27,15 @@
 pub mod message;
 pub mod note;
 pub mod owners;
+pub mod parked;
 pub mod segment;
 
 use std::net;
 use std::sync;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::config;
 use crate::ids;
 
@@ -50,8 +55,10 @@
     },
     /// The configuration has moved forward.
     Config(sync::Arc<config::ConfigState>),
-    /// Where balancers may be found, by the platform or the settings.
-    Balancers(Vec<net::SocketAddrV4>),
+    /// Where balancers may be found, by the settings.
+    Seeds(Vec<net::SocketAddrV4>),
+    /// Every process that is announced on the platform, read after this one was announced itself.
+    Members(Vec<AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
     Platform(bool),
     /// The backend server's report.
@@ -64,6 +71,15 @@
     Tick,
 }
 
+/// A process as it is announced on the platform.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnnouncedMember {
+    /// Where it takes messages.
+    pub address: net::SocketAddrV4,
+    /// The service of the backend server beside it; `None` at a balancer.
+    pub service: Option<ids::ServiceId>,
+}
+
 /// Something for the process to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StreamAction {
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -21,6 +21,8 @@
     NoAgent,
     /// The run of the backend server that held the stream is over.
     RunOver,
+    /// Every agent of the service answered that its backend server does not hold the stream.
+    HeldNowhere,
 }
 
 impl ResetReason {
@@ -31,6 +33,7 @@
             ResetReason::AllRefused => "all_refused",
             ResetReason::NoAgent => "no_agent",
             ResetReason::RunOver => "run_over",
+            ResetReason::HeldNowhere => "held_nowhere",
         }
     }
 }
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -31,6 +31,8 @@
     pub holders: Vec<(net::SocketAddrV4, Option<u32>)>,
     /// Agents to try next, of those that may hold it.
     pub candidates: Vec<net::SocketAddrV4>,
+    /// Whether every agent besides the candidates is known not to hold it.
+    pub is_absent_elsewhere: bool,
     /// Whether the caller has ended it.
     pub is_ended: bool,
 }
@@ -44,6 +46,7 @@
             queued: Vec::new(),
             holders: Vec::new(),
             candidates: Vec::new(),
+            is_absent_elsewhere: false,
             is_ended: false,
         }
     }
--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -10,6 +10,7 @@
 use rand::RngExt as _;
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
 use smol::channel;
 
 use crate::http;
@@ -23,8 +24,8 @@
 use crate::stream::settings as stream_settings;
 use crate::stream::status;
 
-/// What the keys of balancers' announcements start with.
-const BALANCER_PREFIX: &str = "rosemaryusher-balancers/";
+/// What the keys of announcements start with.
+const MEMBER_PREFIX: &str = "rosemaryusher-members/";
 
 /// How long one watch of the platform waits, in milliseconds.
 ///
@@ -48,7 +49,7 @@
 const SETTINGS_MS: u64 = 1_000;
 
 /// The most announcements that are read.
-const SEED_LIMIT: usize = 64;
+const MEMBER_LIMIT: usize = 1_024;
 
 /// The state of the thread.
 pub(crate) struct StreamHub {
@@ -56,7 +57,8 @@
     pub(crate) settings: cell::RefCell<settings::NodeSettings>,
     pub(crate) file: path::PathBuf,
     pub(crate) settings_text: cell::RefCell<String>,
-    pub(crate) is_balancer: bool,
+    /// The service of the backend server beside this process; `None` at a balancer.
+    pub(crate) service: Option<ids::ServiceId>,
     pub(crate) link: cell::RefCell<edge::PlatformLink>,
     pub(crate) open_platform: fn(net::SocketAddr, time::Duration) -> edge::PlatformLink,
     pub(crate) state: cell::RefCell<sync::Arc<config::ConfigState>>,
@@ -86,74 +88,37 @@
         let serving = http::serve(listener, executor.clone(), handler);
         executor.spawn(async move { crate::threads::report(serving.await) }).detach();
     }
-    hub.tell_balancers(hub.seeds()).await;
-    executor.spawn(find_balancers(hub.clone())).detach();
+    hub.tell_seeds(hub.seeds()).await;
+    executor.spawn(meet_members(hub.clone())).detach();
     executor.spawn(fetch_configs(hub.clone(), fetches)).detach();
     executor.spawn(follow(hub.clone())).detach();
     executor.spawn(watch_settings(hub.clone())).detach();
-    if hub.is_balancer {
-        executor.spawn(announce(hub.clone())).detach();
-    }
     Ok(())
 }
 
-/// Announces this balancer on the platform, for newcomers to find.
-async fn announce(hub: rc::Rc<StreamHub>) {
-    let key = hub.announcement_key();
-    let value = serde_json::json!({ "address": hub.own }).to_string();
-    let mut pause_ms = FIRST_PAUSE_MS;
-    while !hub.is_leaving.get() {
-        let store = hub.link.borrow().store.clone();
-        // Writing twice does no harm: the value is the same, and the name is this process's own.
-        match store.put(&key, value.clone(), platform::WriteCondition::Always).await {
-            Ok(version) => {
-                hub.announced.set(Some(version));
-                hub.note_platform(true).await;
-                return;
-            }
-            Err(error) => {
-                log::warn!("cannot announce this process: {error}");
-                hub.note_platform(false).await;
-            }
-        }
-        pause(&mut pause_ms).await;
-    }
-}
-
-/// Takes back this process's announcement.
+/// Announces this process, then reads who else is there: until a balancer is heard, and again
+/// whenever none is.
 ///
-/// One that stays behind does no harm but a report into nothing now and then.
-pub(crate) async fn withdraw(hub: &StreamHub) {
-    hub.is_leaving.set(true);
-    let Some(version) = hub.announced.take() else { return };
-    let store = hub.link.borrow().store.clone();
-    if let Err(error) = store.remove(&hub.announcement_key(), version).await {
-        log::info!("the announcement of this process stays behind: {error}");
-    }
-}
-
-/// Reads the announcements until a balancer is heard, and again whenever none is.
-async fn find_balancers(hub: rc::Rc<StreamHub>) {
+/// In this order, of two processes that start together one sees the other.
+async fn meet_members(hub: rc::Rc<StreamHub>) {
     let mut pause_ms = FIRST_PAUSE_MS;
-    let mut is_first = true;
+    let mut has_read = false;
     loop {
-        if status::holds(&hub.status.hears_balancer) && !is_first {
+        if has_read && status::holds(&hub.status.hears_balancer) {
             pause_ms = FIRST_PAUSE_MS;
             sleep_ms(LONELY_MS).await;
             continue;
         }
-        is_first = false;
-        let store = hub.link.borrow().store.clone();
-        match store.list(BALANCER_PREFIX, SEED_LIMIT).await {
-            Ok(objects) => {
+        match announce_and_read(&hub).await {
+            Ok(members) => {
                 hub.note_platform(true).await;
-                let found = objects.iter().filter_map(|object| announced_address(&object.value));
-                hub.tell_balancers(found.collect()).await;
+                has_read = true;
+                hub.tell(packets::StreamInput::Members(members)).await;
                 // Who has been told of answers within a round trip.
                 sleep_ms(LONELY_MS).await;
             }
             Err(error) => {
-                log::warn!("cannot read who the balancers are: {error}");
+                log::warn!("cannot read who else is there: {error}");
                 hub.note_platform(false).await;
                 pause(&mut pause_ms).await;
             }
@@ -161,9 +126,38 @@
     }
 }
 
-fn announced_address(value: &str) -> Option<net::SocketAddrV4> {
-    let value: serde_json::Value = serde_json::from_str(value).ok()?;
-    value.get("address")?.as_str()?.parse().ok()
+async fn announce_and_read(
+    hub: &StreamHub,
+) -> Result<Vec<stream::AnnouncedMember>, platform::StoreError> {
+    let store = hub.link.borrow().store.clone();
+    if hub.announced.get().is_none() && !hub.is_leaving.get() {
+        let own = stream::AnnouncedMember { address: hub.own, service: hub.service };
+        let value = serde_json::to_string(&own).map_err(|_| platform::StoreError::Unavailable)?;
+        // Writing twice does no harm: the value is the same, and the name is this process's own.
+        let condition = platform::WriteCondition::Always;
+        let version = store.put(&hub.announcement_key(), value, condition).await?;
+        hub.announced.set(Some(version));
+    }
+    let objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
+    let parse = |object: &platform::StoredObject| serde_json::from_str(&object.value).ok();
+    let members = objects.iter().filter_map(parse);
+    Ok(members.filter(|member: &stream::AnnouncedMember| member.address != hub.own).collect())
+}
+
+/// Takes back this process's announcement.
+///
+/// One that stays behind costs reports into nothing, and searches that wait for its answer. An
+/// agent whose backend server lives comes back, and its streams must be asked for meanwhile.
+pub(crate) async fn withdraw(hub: &StreamHub) {
+    hub.is_leaving.set(true);
+    if status::holds(&hub.status.holds_streams) {
+        return;
+    }
+    let Some(version) = hub.announced.take() else { return };
+    let store = hub.link.borrow().store.clone();
+    if let Err(error) = store.remove(&hub.announcement_key(), version).await {
+        log::info!("the announcement of this process stays behind: {error}");
+    }
 }
 
 /// Fetches the configuration from peers that hold a newer one.
@@ -191,7 +185,7 @@
 
 /// Follows the operators' configuration while this process is a watcher or hears of nothing else.
 async fn follow(hub: rc::Rc<StreamHub>) {
-    if !hub.is_balancer {
+    if hub.service.is_some() {
         // Agents hear from balancers, and take openings for their own service meanwhile.
         sleep_ms(PEER_CONFIG_MS).await;
     }
@@ -292,12 +286,12 @@
             "platform": next.platform.map(|address| address.to_string()),
             "seeds": seeds,
         }));
-        self.tell_balancers(seeds).await;
+        self.tell_seeds(seeds).await;
     }
 
-    async fn tell_balancers(&self, balancers: Vec<net::SocketAddrV4>) {
-        let others = balancers.into_iter().filter(|balancer| *balancer != self.own).collect();
-        self.tell(packets::StreamInput::Balancers(others)).await;
+    async fn tell_seeds(&self, seeds: Vec<net::SocketAddrV4>) {
+        let others = seeds.into_iter().filter(|seed| *seed != self.own).collect();
+        self.tell(packets::StreamInput::Seeds(others)).await;
     }
 
     /// Tells the thread that decides.
@@ -342,7 +336,7 @@
     }
 
     fn announcement_key(&self) -> String {
-        format!("{BALANCER_PREFIX}{}", self.settings.borrow().name)
+        format!("{MEMBER_PREFIX}{}", self.settings.borrow().name)
     }
 }
 
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -74,19 +74,19 @@
     let net::SocketAddr::V4(own) = parts.settings.packet_address else {
         eyre::bail!("node.packet_address: must be an IPv4 address");
     };
+    let service = parts.service.as_deref().map(ids::ServiceId::of_name);
     let config = stream::StreamConfig {
         instance,
         address: own,
         data_centre: ids::ServiceId::of_name(&parts.settings.data_centre).0,
-        service: parts.service.as_deref().map(ids::ServiceId::of_name).unwrap_or_default(),
+        service: service.unwrap_or_default(),
         host_report_ms: streams.report_period_ms,
         stream_limit_s: streams.stream_limit_s,
         seed: rand::rng().next_u64(),
     };
-    let is_balancer = parts.service.is_none();
-    let engine = match is_balancer {
-        true => role::StreamRole::Balancer(Box::new(balancer::StreamBalancer::new(config))),
-        false => role::StreamRole::Agent(Box::new(agent::StreamAgent::new(config, clock.now()))),
+    let engine = match service {
+        None => role::StreamRole::Balancer(Box::new(balancer::StreamBalancer::new(config))),
+        Some(_) => role::StreamRole::Agent(Box::new(agent::StreamAgent::new(config, clock.now()))),
     };
     let (inputs, input_ends) = rings::ring();
     let (fetches, fetch_ends) = channel::bounded(1);
@@ -128,7 +128,7 @@
             std::fs::read_to_string(&parts.file).wrap_err("cannot read the settings")?,
         ),
         file: parts.file,
-        is_balancer,
+        service,
         state: cell::RefCell::default(),
         inputs,
         status,
@@ -175,7 +175,7 @@
     let began = time::Instant::now();
     let grace = time::Duration::from_secs(hub.streams().grace_s);
     let limit = grace.saturating_sub(time::Duration::from_millis(GRACE_MARGIN_MS));
-    let least = match hub.is_balancer {
+    let least = match hub.service.is_none() {
         true => time::Duration::from_millis(ROUTERS_MS),
         false => time::Duration::ZERO,
     };
@@ -186,7 +186,7 @@
             seen = (arrivals, time::Instant::now());
         }
         let is_quiet = seen.1.elapsed() >= time::Duration::from_millis(QUIET_MS);
-        let is_done = match hub.is_balancer {
+        let is_done = match hub.service.is_none() {
             true => is_quiet,
             false => !status::holds(&hub.status.is_busy),
         };
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -41,8 +41,10 @@
 pub(crate) enum StreamInput {
     /// The configuration has moved forward.
     Config(sync::Arc<config::ConfigState>),
-    /// Where balancers may be found.
-    Balancers(Vec<net::SocketAddrV4>),
+    /// Where balancers may be found, by the settings.
+    Seeds(Vec<net::SocketAddrV4>),
+    /// Every process that is announced on the platform.
+    Members(Vec<stream::AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
     Platform(bool),
     /// The backend server's report.
@@ -210,7 +212,8 @@
     ) {
         let event = match input {
             StreamInput::Config(state) => stream::StreamEvent::Config(state),
-            StreamInput::Balancers(balancers) => stream::StreamEvent::Balancers(balancers),
+            StreamInput::Seeds(seeds) => stream::StreamEvent::Seeds(seeds),
+            StreamInput::Members(members) => stream::StreamEvent::Members(members),
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
             StreamInput::HostLeft(run) => stream::StreamEvent::HostLeft(run),
@@ -231,6 +234,7 @@
         status::set(&self.status.is_watcher, self.engine.is_watcher());
         status::set(&self.status.hears_balancer, self.engine.hears_balancer());
         status::set(&self.status.is_busy, self.engine.is_busy());
+        status::set(&self.status.holds_streams, self.engine.holds_streams());
     }
 
     fn carry_out(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Whether a backend server beside the process lives, and may hold streams.
+    pub fn holds_streams(&self) -> bool {
+        match self {
+            StreamRole::Balancer(_) => false,
+            StreamRole::Agent(engine) => engine.has_host(),
+        }
+    }
+
     /// What operators see of the decisions.
     pub fn dump(&self, now: ids::UnixMillis) -> serde_json::Value {
         match self {
--- a/crates/node/src/stream/status.rs
+++ b/crates/node/src/stream/status.rs
@@ -13,6 +13,8 @@
     pub(crate) hears_balancer: atomic::AtomicBool,
     /// Whether work is in progress.
     pub(crate) is_busy: atomic::AtomicBool,
+    /// Whether a backend server beside the process lives, and may hold streams.
+    pub(crate) holds_streams: atomic::AtomicBool,
     /// How many segments have come in.
     pub(crate) arrivals: atomic::AtomicU64,
 }
