Go on reporting to a balancer that leaves

Cause: agents and balancers struck a leaving balancer off their lists at once. It heard none of them 350 ms later and refused callers for want of an agent, while the network still sent to it.

Logs: one line when the platform is lost, not one a call; how many lines were left out is said once a second.

--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -50,6 +50,18 @@
 struct KnownBalancer {
     heard: ids::UnixMillis,
     is_heard: bool,
+    is_leaving: bool,
+}
+
+impl KnownBalancer {
+    fn unheard(now: ids::UnixMillis) -> KnownBalancer {
+        KnownBalancer { heard: now, is_heard: false, is_leaving: false }
+    }
+
+    /// How long it is told of after its last report.
+    fn kept_ms(&self) -> u64 {
+        if self.is_leaving { BALANCER_HEARD_MS } else { BALANCER_KEPT_MS }
+    }
 }
 
 /// What one agent decides of streams.
@@ -169,7 +181,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         for balancer in balancers {
-            let unknown = KnownBalancer { heard: now, is_heard: false };
+            let unknown = KnownBalancer::unheard(now);
             self.balancers.entry(*balancer).or_insert(unknown);
         }
         self.report(now, actions);
@@ -182,22 +194,21 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let unknown = KnownBalancer { heard: now, is_heard: false };
+        let unknown = KnownBalancer::unheard(now);
         for other in &report.balancers {
             self.balancers.entry(*other).or_insert(unknown);
         }
-        if report.is_leaving {
-            self.balancers.remove(&from);
-        } else {
-            let known = self.balancers.entry(from).or_insert(unknown);
-            known.heard = now;
-            if !known.is_heard {
-                known.is_heard = true;
-                let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
-                actions.push(note(changed));
-                let report = self.own_report(now);
-                actions.push(stream::StreamAction::Tell(from, report));
-            }
+        let known = self.balancers.entry(from).or_insert(unknown);
+        known.heard = now;
+        // The network sends to a balancer for a while after it has said that it leaves, and until
+        // then it needs reports like any other.
+        known.is_leaving = report.is_leaving;
+        if !known.is_heard {
+            known.is_heard = true;
+            let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
+            actions.push(note(changed));
+            let report = self.own_report(now);
+            actions.push(stream::StreamAction::Tell(from, report));
         }
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
@@ -400,7 +411,7 @@
     }
 
     fn forget_balancers(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
-        self.balancers.retain(|_, known| now.since(known.heard) <= BALANCER_KEPT_MS);
+        self.balancers.retain(|_, known| now.since(known.heard) <= known.kept_ms());
         for (balancer, known) in &mut self.balancers {
             if known.is_heard && now.since(known.heard) > BALANCER_HEARD_MS {
                 known.is_heard = false;
--- a/crates/core/src/stream/balancer.rs
+++ b/crates/core/src/stream/balancer.rs
@@ -40,6 +40,7 @@
 struct PeerBalancer {
     heard: ids::UnixMillis,
     is_heard: bool,
+    is_leaving: bool,
     reaches_platform: bool,
 }
 
@@ -374,23 +375,19 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if report.is_leaving {
-            self.peers.remove(&from);
-        } else {
-            self.meet(from, now);
-            if let Some(peer) = self.peers.get_mut(&from) {
-                let is_news = !peer.is_heard;
-                *peer = PeerBalancer {
-                    heard: now,
-                    is_heard: true,
-                    reaches_platform: report.reaches_platform,
-                };
-                if is_news {
-                    let changed =
-                        note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
-                    actions.push(note(changed));
-                    actions.push(stream::StreamAction::Tell(from, self.own_report(true)));
-                }
+        self.meet(from, now);
+        if let Some(peer) = self.peers.get_mut(&from) {
+            let is_news = !peer.is_heard;
+            *peer = PeerBalancer {
+                heard: now,
+                is_heard: true,
+                is_leaving: report.is_leaving,
+                reaches_platform: report.reaches_platform,
+            };
+            if is_news {
+                let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
+                actions.push(note(changed));
+                actions.push(stream::StreamAction::Tell(from, self.own_report(true)));
             }
         }
         for balancer in &report.balancers {
@@ -409,8 +406,12 @@
 
     fn meet(&mut self, balancer: net::SocketAddrV4, now: ids::UnixMillis) {
         if balancer != self.config.address {
-            let peer = PeerBalancer { heard: now, is_heard: false, reaches_platform: false };
-            self.peers.entry(balancer).or_insert(peer);
+            self.peers.entry(balancer).or_insert(PeerBalancer {
+                heard: now,
+                is_heard: false,
+                is_leaving: false,
+                reaches_platform: false,
+            });
         }
     }
 
@@ -588,7 +589,9 @@
     }
 
     fn forget_peers(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
-        self.peers.retain(|_, peer| now.since(peer.heard) <= KEPT_MS);
+        self.peers.retain(|_, peer| {
+            now.since(peer.heard) <= if peer.is_leaving { HEARD_MS } else { KEPT_MS }
+        });
         for (balancer, peer) in &mut self.peers {
             if peer.is_heard && now.since(peer.heard) > HEARD_MS {
                 peer.is_heard = false;
@@ -671,11 +674,11 @@
     }
 
     fn own_report(&self, to_balancer: bool) -> message::StreamMessage {
-        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard);
+        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard && !peer.is_leaving);
         message::StreamMessage::Balancer(message::BalancerReport {
             generation: self.state.generation(),
             is_leaving: self.is_leaving,
-            reaches_platform: self.reaches_platform,
+            reaches_platform: self.reaches_platform && !self.is_leaving,
             balancers: heard.map(|(address, _)| *address).collect(),
             agents: match to_balancer {
                 true => self.board.heard().collect(),
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -371,8 +371,21 @@
     assert!(world.view(key).first.is_some());
 }
 
-/// A balancer reports that it leaves; agents stop telling it of their load, and streams that came
-/// through it go on through another.
+/// A balancer is told to shut down; the network goes on sending it segments for a second. Agents
+/// that stopped reporting to it at once would look silent to it within that time, and it would
+/// refuse callers although every host has room.
+#[test]
+fn last_second() {
+    let mut world = world::StreamWorld::calm();
+    world.handle(world::balancer_address(1), stream::StreamEvent::Leave);
+    world.advance(1_000);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(20);
+    assert!(world.view(key).first.is_some());
+}
+
+/// A balancer reports that it leaves; streams that came through it go on through another.
 #[test]
 fn balancer_leaves() {
     let mut world = world::StreamWorld::calm();
--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -111,15 +111,14 @@
         }
         match announce_and_read(&hub).await {
             Ok(members) => {
-                hub.note_platform(true).await;
+                hub.note_platform(Ok(())).await;
                 has_read = true;
                 hub.tell(packets::StreamInput::Members(members)).await;
                 // Who has been told of answers within a round trip.
                 sleep_ms(LONELY_MS).await;
             }
             Err(error) => {
-                log::warn!("cannot read who else is there: {error}");
-                hub.note_platform(false).await;
+                hub.note_platform(Err(error)).await;
                 pause(&mut pause_ms).await;
             }
         }
@@ -207,7 +206,7 @@
         let wait = time::Duration::from_millis(wait_ms);
         match configs.next(hub.generation(), wait).await {
             Ok(delta) => {
-                hub.note_platform(true).await;
+                hub.note_platform(Ok(())).await;
                 pause_ms = FIRST_PAUSE_MS;
                 if let Some(delta) = delta {
                     hub.advance(&delta).await;
@@ -216,8 +215,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("cannot follow the configuration: {error}");
-                hub.note_platform(false).await;
+                hub.note_platform(Err(error)).await;
                 pause(&mut pause_ms).await;
             }
         }
@@ -300,13 +298,22 @@
         drop(self.inputs.send(input).await);
     }
 
-    /// Notes whether the platform answered, and logs when that changes.
-    async fn note_platform(&self, reaches: bool) {
-        if self.reaches_platform.replace(Some(reaches)) != Some(reaches) {
-            let event = if reaches { "platform_regained" } else { "platform_lost" };
-            logs::event(&serde_json::json!({ "event": event }));
-            self.tell(packets::StreamInput::Platform(reaches)).await;
+    /// Notes whether the platform answered, and logs when that changes: a line for each call that
+    /// fails would be most of the log through an outage.
+    async fn note_platform(&self, result: Result<(), platform::StoreError>) {
+        let reaches = result.is_ok();
+        if self.reaches_platform.replace(Some(reaches)) == Some(reaches) {
+            return;
+        }
+        match result {
+            Ok(()) => logs::event(&serde_json::json!({ "event": "platform_regained" })),
+            Err(error) => logs::event(&serde_json::json!({
+                "event": "platform_lost",
+                "reason": error.to_string(),
+                "generation": self.generation(),
+            })),
         }
+        self.tell(packets::StreamInput::Platform(reaches)).await;
     }
 }
 
--- a/crates/node/src/stream/journal.rs
+++ b/crates/node/src/stream/journal.rs
@@ -14,18 +14,23 @@
 /// How many such lines may follow each other at once: the first moments of a trouble tell most.
 const LINE_BURST: u64 = 300;
 
+/// How often it is said how many lines were left out, in milliseconds.
+const LEFT_OUT_MS: u64 = 1_000;
+
 /// Writes notes as log lines and counts them.
 #[derive(Debug)]
 pub(crate) struct StreamJournal {
     credit_ms: u64,
     refilled: ids::UnixMillis,
     left_out: u64,
+    told: ids::UnixMillis,
 }
 
 impl StreamJournal {
     /// A journal that has written nothing.
     pub(crate) fn new(now: ids::UnixMillis) -> StreamJournal {
-        StreamJournal { credit_ms: LINE_BURST * 1_000 / LINES_PER_S, refilled: now, left_out: 0 }
+        let credit_ms = LINE_BURST * 1_000 / LINES_PER_S;
+        StreamJournal { credit_ms, refilled: now, left_out: 0, told: now }
     }
 
     /// Writes a note, or counts it as left out.
@@ -35,7 +40,8 @@
             self.left_out += 1;
             return;
         }
-        if self.left_out > 0 {
+        if self.left_out > 0 && now.since(self.told) >= LEFT_OUT_MS {
+            self.told = now;
             let left_out = std::mem::take(&mut self.left_out);
             logs::event(&serde_json::json!({ "event": "left_out", "lines": left_out }));
         }
