--- a/crates/core/tests/manifest_check.rs
+++ b/crates/core/tests/manifest_check.rs
@@ -18,7 +18,9 @@
               "host_connections": 2000, "rules": { "deadline_ms": 1, "retry_percent": 101 } },
             { "name": "taller", "datagrams": "10.0.0.2:0", "host_slots": 4,
               "host_connections": 2000 },
-            { "name": "horno", "host_slots": 4, "host_connections": 2000 } ] }"#,
+            { "name": "horno", "host_slots": 4, "host_connections": 2000 },
+            { "name": "preview", "streams": ["10.0.0.3:443", "10.0.0.3:443", "10.0.0.3:0"],
+              "host_slots": 4, "host_connections": 2000 } ] }"#,
     );
     let faults: Vec<_> = manifest.check().iter().map(ToString::to_string).collect();
     insta::assert_snapshot!(faults.join("\n"), @r#"
@@ -31,7 +33,9 @@
     services[1].rules.deadline_ms: is 1; use a number from 10 to 120000
     services[2].name: "taller" stands twice; rename or remove one of the two
     services[2].datagrams: has port 0; give the port that callers send to
-    services[3]: has no address; give `requests`, `datagrams` or both
+    services[3]: has no address; give `requests`, `datagrams` or `streams`
+    services[4].streams[1]: 10.0.0.3:443 is taken by "preview"; give each service and kind an address of its own
+    services[4].streams[2]: has port 0; give the port that callers send to
     "#);
 }
 
