--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -73,8 +73,6 @@
     touched: ids::UnixMillis,
     /// Whether the backend server has sent anything on it, which proves that it holds the stream.
     spoken: bool,
-    /// Whether the caller has taken this backend server's answer, rather than another's.
-    is_confirmed: bool,
     ended_by_caller: bool,
     ended_by_host: bool,
 }
@@ -136,10 +134,6 @@
         stream.touched = now;
         stream.balancer = balancer;
         stream.caller_expects = head.acknowledged;
-        stream.is_confirmed |= match stream.first_sequence {
-            Some(_) => true,
-            None => stream.spoken,
-        };
         stream.ended_by_caller |= head.flags.ends;
         let next = match stream.phase {
             _ if head.flags.resets => WorkPhase::Ended,
@@ -198,25 +192,24 @@
         Some(stream)
     }
 
-    /// Forgets streams that were opened until `limit`, and gives back those that were surely open
-    /// here.
+    /// Forgets streams that were opened until `limit`, and gives back those that were open.
     ///
     /// Later ones may be held by a new run of the backend server, which took them before its first
-    /// report. A copy of an opening may have opened a second half at another backend server, and the
-    /// caller may have taken that one: only its own segments tell.
+    /// report. Of a half that the caller did not take, no number that the caller expects is known;
+    /// a reset of it is one that an open caller ignores.
     pub fn remove_opened_until(
         &mut self,
         limit: ids::UnixMillis,
     ) -> Vec<(segment::StreamKey, HeldStream)> {
         let removed = self.streams.extract_if(|_, stream| stream.opened <= limit);
-        let mut surely_open = Vec::new();
+        let mut open = Vec::new();
         for (key, stream) in removed {
             self.busy -= u32::from(stream.phase.is_busy());
-            if stream.is_confirmed && stream.phase != WorkPhase::Ended {
-                surely_open.push((key, stream));
+            if stream.phase != WorkPhase::Ended {
+                open.push((key, stream));
             }
         }
-        surely_open
+        open
     }
 
     /// Forgets and gives back an opening that has had no answer since before `limit`.
@@ -298,7 +291,6 @@
         since: now,
         touched: now,
         spoken: false,
-        is_confirmed: false,
         ended_by_caller: false,
         ended_by_host: false,
     }
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -152,6 +152,11 @@
 fn halves_told_apart() {
     for caller in 1..9 {
         let mut world = world::StreamWorld::calm();
+        // Other streams before it change which hosts are drawn.
+        for other in 0..caller {
+            world.open(world::key(100 + other, 0), 0);
+        }
+        world.advance(5);
         let key = world::key(caller, 0);
         world.open(key, 0);
         world.open(key, 1);
@@ -203,7 +208,6 @@
     world.drain_host(leaving);
     for caller in 10..40 {
         world.open(world::key(caller, 0), 0);
-        world.advance(2);
     }
     world.send(old);
     world.advance(100);
@@ -264,12 +268,12 @@
     world.open(key, 0);
     world.advance(10);
     let holder = world.holders(key)[0];
-    world.start_host(holder, "preview", 16);
-    world.start_agent(holder, "preview");
     world.send(key);
     for caller in 2..20 {
         world.open(world::key(caller, 0), 0);
     }
+    world.start_host(holder, "preview", 16);
+    world.start_agent(holder, "preview");
     world.advance(100);
     assert!(world.host(holder).openings.is_empty());
     assert!((2..20).all(|caller| world.view(world::key(caller, 0)).first.is_some()));
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -401,11 +401,12 @@
             self.answer(agent, key, flags, first, 0);
             return;
         }
-        let is_held = host
-            .held
-            .get(&key)
-            .is_some_and(|first| head.acknowledged.wrapping_sub(first.wrapping_add(1)) < 1 << 20);
-        if !is_held {
+        let is_own_half =
+            |first: &u32| head.acknowledged.wrapping_sub(first.wrapping_add(1)) < 1 << 20;
+        if host.held.get(&key).is_some_and(|first| !is_own_half(first)) {
+            return;
+        }
+        if !host.held.contains_key(&key) {
             head.flags.given_back = true;
             self.post(0, Envelope::FromHost { agent, head });
             return;
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -49,6 +49,23 @@
 upload-not-counted	crates/core/src/agent/mod.rs	s/requests && self\.uploads == 0/requests/	-p rosemaryusher-core --test agent_drain upload_goes_on
 later-block-runs	crates/core/src/agent/requests.rs	s/_ if wants_later_block =>/_ if false \&\& wants_later_block =>/	-p rosemaryusher-core --test agent_drain answer_gone
 queue-unbounded	crates/core/src/admission.rs	s/>= self\.slots \* self\.queue_per_slot/>= u32::MAX/;s/_ if now\.plus\(wait_ms as u64\) >= deadline => self\.refusal\(spread\),//	-p rosemaryusher-core --test admission_gate overload_level
+stream-drain-ignored	crates/core/src/stream/agent.rs	s/_ => Some\(message::ReturnReason::NotServing\),/host::HostPhase::Draining => None, _ => Some(message::ReturnReason::NotServing),/	-p rosemaryusher-core --test stream_moves host_drains
+stream-service-unchecked	crates/core/src/stream/agent.rs	s/_ if carry\.service != self\.config\.service => Some\(message::ReturnReason::OtherService\),//;s/_ if self\.is_rerouted\(key, carry\.generation\) => \{?\s*Some\(message::ReturnReason::OtherService\)\s*\}?,?//	-p rosemaryusher-core --test stream_moves address_reused
+stream-dropped-route-runs	crates/core/src/stream/agent.rs	s/None => self\.state\.generation\(\) > generation,/None => false,/	-p rosemaryusher-core --test stream_moves route_dropped
+stream-lookup-skipped	crates/core/src/stream/balancer.rs	s/let holders = self\.board\.holders\(service\);/let holders: Vec<net::SocketAddrV4> = Vec::new();/	-p rosemaryusher-core --test stream_moves balancer_replaced
+stream-reset-unsure	crates/core/src/stream/balancer.rs	s/self\.knows_members && search\.is_answered\(\) && search\.asked > 0/true/	-p rosemaryusher-core --test stream_moves agent_unheard
+stream-agent-always-sure	crates/core/src/stream/agent.rs	s/self\.has_seen_all \|\| is_old/true || is_old/	-p rosemaryusher-core --test stream_moves agent_restarted
+stream-halves-not-told	crates/core/src/stream/held.rs	s/self\.first_sequence\.is_none_or\(is_near\)/self.first_sequence.is_none_or(|first| is_near(first) || true)/	-p rosemaryusher-core --test stream_moves halves_told_apart
+stream-hang-unnoticed	crates/core/src/stream/agent.rs	s/self\.give_back_unanswered\(now, actions\);//	-p rosemaryusher-core --test stream_moves host_hangs
+stream-dead-run-silent	crates/core/src/stream/agent.rs	s/actions\.push\(stream::StreamAction::Reset\(\*key, stream\.caller_expects\)\);/let _ = (key, stream);/	-p rosemaryusher-core --test stream_moves host_crashed
+stream-early-opening-forgotten	crates/core/src/stream/held.rs	s/stream\.opened <= limit/stream.opened <= limit || true/	-p rosemaryusher-core --test stream_moves early_opening
+stream-leaver-struck-off	crates/core/src/stream/agent.rs	s/known\.heard = now;\n/if report.is_leaving { self.balancers.remove(\&from); return; }\n        known.heard = now;\n/	-p rosemaryusher-core --test stream_moves last_second
+stream-newcomer-refuses	crates/core/src/stream/parked.rs	s/let has_time = .*?;/let has_time = false;/	-p rosemaryusher-core --test stream_moves newcomer_waits
+stream-no-admission	crates/core/src/stream/agent.rs	s/host::HostPhase::Serving if self\.held\.busy\(\) >= limit => \{\s*Some\(message::ReturnReason::Full\)\s*\}//	-p rosemaryusher-core --test stream_moves storm_passes
+stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > EXPECT_MS => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
+stream-late-report-taken	crates/core/src/stream/host.rs	s/_ if self\.ended\.contains\(&report\.run\) => ReportOutcome::Stale,//	-p rosemaryusher-core --test stream_moves late_reports
+marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !BOUNCED;//	-p rosemaryusher-platform --test head_codec marks_removed
+lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
 TABLE
 }
 
