Find the half that a caller took after an agent has forgotten it

Cause: of a stream with copies at several backend servers, a balancer sent the caller's segments to an agent that had been restarted since and handed them to a backend server that the caller had not taken. Test forgotten_half, seen failing first. An agent now learns the number from an answer to an opening that it did not see, and a balancer sends nothing to a holder whose number does not fit.

--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -28,12 +28,6 @@
 /// How long an opening without an answer is remembered, in milliseconds: callers give up after 1.4 s.
 const OPENING_MS: u64 = 2_000;
 
-/// How many bytes a backend server sends on one stream at the most, 64 MB.
-///
-/// A caller that expects a number further ahead has taken another backend server's answer: numbers
-/// begin at random, so one stream in 64 would be mistaken. A minute of previews is a few MB.
-const STREAM_SPAN: u32 = 1 << 26;
-
 /// What a stream occupies at its backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkPhase {
@@ -89,7 +83,7 @@
 impl HeldStream {
     /// Whether a caller that expects `caller_expects` has taken this backend server's answer.
     pub fn matches(&self, caller_expects: u32) -> bool {
-        let is_near = |first: u32| caller_expects.wrapping_sub(first.wrapping_add(1)) < STREAM_SPAN;
+        let is_near = |first| segment::is_within_stream(first, caller_expects);
         self.first_sequence.is_none_or(is_near)
     }
 }
@@ -153,11 +147,12 @@
         now: ids::UnixMillis,
     ) -> bool {
         let Some(stream) = self.streams.get_mut(&key) else {
-            // Held since before this run of the agent; a stream's end needs no entry.
-            if !head.flags.resets && !head.flags.opens {
+            // Opened under an earlier run of the agent; a stream's end needs no entry.
+            if !head.flags.resets {
                 let nobody = net::SocketAddrV4::new(net::Ipv4Addr::UNSPECIFIED, 0);
                 let stream = HeldStream {
                     phase: WorkPhase::Resting,
+                    first_sequence: head.flags.opens.then_some(head.sequence),
                     spoken: true,
                     ..stream_at(nobody, now)
                 };
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -77,11 +77,15 @@
     /// backend servers hold the stream half open, and the caller's first segment tells whose
     /// answer it took: its number follows the one that this backend server began with.
     pub fn target(&self, acknowledged: u32) -> Option<net::SocketAddrV4> {
-        let distance = |first: &Option<u32>| {
-            first.map_or(u32::MAX, |first| acknowledged.wrapping_sub(first.wrapping_add(1)))
+        let fits = |first: &Option<u32>| {
+            first.is_none_or(|first| segment::is_within_stream(first, acknowledged))
         };
-        let holder = self.holders.iter().min_by_key(|(_, first)| distance(first));
-        holder.map(|(agent, _)| *agent).or(self.tried.last().copied())
+        match self.holders.iter().find(|(_, first)| fits(first)) {
+            Some((agent, _)) => Some(*agent),
+            None if self.holders.is_empty() => self.tried.last().copied(),
+            // The caller took the answer to a copy that came through another balancer.
+            None => None,
+        }
     }
 
     /// Whether an opening belongs to a new stream from the same port.
--- a/crates/core/src/stream/segment.rs
+++ b/crates/core/src/stream/segment.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// How many bytes a backend server sends on one stream at the most, 64 MB.
+///
+/// A caller that expects a number further ahead has taken another backend server's answer: numbers
+/// begin at random, so one stream in 64 would be mistaken. A minute of previews is a few MB.
+const STREAM_SPAN: u32 = 1 << 26;
+
+/// Whether a caller that expects `expected` may have taken the answer that began with `first`.
+pub fn is_within_stream(first: u32, expected: u32) -> bool {
+    expected.wrapping_sub(first.wrapping_add(1)) < STREAM_SPAN
+}
+
 /// A segment as it arrived.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamSegment<'a> {
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -172,6 +172,35 @@
     }
 }
 
+/// Copies of an opening come through both balancers and open more than one half; the agent of one
+/// that the caller did not take is restarted and has forgotten it. The caller's segments must not
+/// be handed to that backend server for good, which passes over them in silence.
+#[test]
+fn forgotten_half() {
+    for spread in 0..8 {
+        let mut world = world::StreamWorld::calm();
+        for other in 0..spread {
+            world.open(world::key(100 + other, 0), 0);
+        }
+        world.advance(5);
+        let key = world::key(1, 0);
+        world.open(key, 0);
+        world.entry_balancer = world::balancer_address(2);
+        world.open(key, 1);
+        world.open(key, 2);
+        world.advance(2);
+        for nth in 1..=3 {
+            world.start_agent(nth, "wallet");
+        }
+        world.advance(500);
+        for _ in 0..3 {
+            world.send(key);
+            world.advance(300);
+        }
+        assert!(world.view(key).answers > 0, "the stream hangs");
+    }
+}
+
 /// The network doubles an opening, and two backend servers take it; the caller takes the answer of
 /// one, and the other crashes. Its agent must not reset the caller: the stream is open elsewhere.
 #[test]
