Try the next agent where a guessed holder keeps silent

Cause: with two halves and both agents restarted, a backend server that passes over the caller's segments in silence is never denied, and the balancer stayed with it.

--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -365,8 +365,10 @@
         let key = segment.head.key_from_host();
         self.silent_until = ids::UnixMillis(0);
         if self.held.hear_host(key, &segment.head, now) {
-            let busy = self.held.busy();
-            actions.push(note(note::StreamNote::Accepted { stream: key, busy }));
+            if segment.head.flags.opens {
+                let busy = self.held.busy();
+                actions.push(note(note::StreamNote::Accepted { stream: key, busy }));
+            }
             if let Some(stream) = self.held.get(key) {
                 let message = message::StreamMessage::Held {
                     key,
--- a/crates/core/src/stream/balancer.rs
+++ b/crates/core/src/stream/balancer.rs
@@ -137,6 +137,7 @@
         }
         let target = self.owners.touch(key).and_then(|owner| {
             owner.is_ended |= segment.head.flags.ends || segment.head.flags.resets;
+            owner.guess_next(now);
             owner.target(segment.head.acknowledged)
         });
         match target {
@@ -505,9 +506,7 @@
     ) {
         match self.owners.touch(key) {
             Some(owner) => {
-                owner.search = owners::SearchState::NotSearched;
-                owner.holders.retain(|(holder, _)| *holder != from);
-                owner.holders.push((from, first_sequence));
+                owner.hold(from, first_sequence);
             }
             None => {
                 let holders = vec![(from, first_sequence)];
--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -139,7 +139,8 @@
         self.busy = change_phase(stream, next, self.busy, now);
     }
 
-    /// Takes in the backend server's segment; says whether it has just accepted the stream.
+    /// Takes in the backend server's segment; says whether it is the first one, which proves that
+    /// the backend server holds the stream.
     pub fn hear_host(
         &mut self,
         key: segment::StreamKey,
@@ -161,6 +162,7 @@
             return false;
         };
         stream.touched = now;
+        let is_proof = !stream.spoken;
         stream.spoken = true;
         stream.ended_by_host |= head.flags.ends;
         let next = match stream.phase {
@@ -171,13 +173,12 @@
             _ if head.length > 0 || head.flags.ends => WorkPhase::Resting,
             phase => phase,
         };
-        let is_accepted = stream.phase == WorkPhase::Opening && next == WorkPhase::Expecting;
-        if is_accepted {
+        if stream.phase == WorkPhase::Opening && next == WorkPhase::Expecting {
             stream.first_sequence = Some(head.sequence);
             stream.opening = Vec::new();
         }
         self.busy = change_phase(stream, next, self.busy, now);
-        is_accepted
+        is_proof
     }
 
     /// Forgets a stream that the backend server does not hold.
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -18,6 +18,10 @@
 /// callers give an opening up after 1.4 s.
 const OPENING_MS: u64 = 2_000;
 
+/// How long a guessed holder has for its first answer, in milliseconds: callers repeat a segment
+/// after 200 ms.
+const GUESS_MS: u64 = 150;
+
 /// What a search has told of a stream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum SearchState {
@@ -47,6 +51,8 @@
     pub candidates: Vec<net::SocketAddrV4>,
     /// The search that named the candidates.
     pub search: SearchState,
+    /// When the candidate that stands for the holder was chosen.
+    pub guessed: ids::UnixMillis,
     /// Whether the caller has ended it.
     pub is_ended: bool,
 }
@@ -62,6 +68,7 @@
             holders: Vec::new(),
             candidates: Vec::new(),
             search: SearchState::NotSearched,
+            guessed: now,
             is_ended: false,
         }
     }
@@ -71,6 +78,35 @@
         StreamOwner { holders: vec![(agent, None)], ..StreamOwner::new(now) }
     }
 
+    /// Takes the next candidate for the holder where the last one neither answers nor denies.
+    ///
+    /// A backend server that opened a half which its caller did not take may pass over the caller's
+    /// segments in silence, and an agent that has been restarted cannot tell.
+    pub fn guess_next(&mut self, now: ids::UnixMillis) {
+        let is_guess = self.search != SearchState::NotSearched;
+        let is_due = now.since(self.guessed) >= GUESS_MS;
+        if !is_guess || !is_due {
+            return;
+        }
+        if let Some(next) = self.candidates.pop() {
+            let last = self.holders.drain(..).map(|(agent, _)| agent);
+            self.candidates.splice(0..0, last);
+            self.holders.push((next, None));
+            self.guessed = now;
+        }
+    }
+
+    /// Notes that an agent holds the stream.
+    pub fn hold(&mut self, agent: net::SocketAddrV4, first_sequence: Option<u32>) {
+        if self.search != SearchState::NotSearched {
+            self.search = SearchState::NotSearched;
+            self.candidates.clear();
+            self.holders.clear();
+        }
+        self.holders.retain(|(holder, _)| *holder != agent);
+        self.holders.push((agent, first_sequence));
+    }
+
     /// Where a segment that acknowledges `acknowledged` goes.
     ///
     /// A copy of an opening may have gone to a second agent while the first was silent. Then two
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -201,6 +201,35 @@
     }
 }
 
+/// Two halves at two backend servers, both agents restarted, and a balancer that has not seen the
+/// stream: nobody knows the half that the caller took. The other backend server passes over the
+/// caller's segments in silence, so its agent never denies the stream; the next copy of the segment
+/// must go to the next agent.
+#[test]
+fn silent_half() {
+    for spread in 0..8 {
+        let mut world = world::StreamWorld::calm();
+        for other in 0..spread {
+            world.open(world::key(100 + other, 0), 0);
+        }
+        world.advance(5);
+        let key = world::key(1, 0);
+        world.open(key, 0);
+        world.open(key, 1);
+        world.advance(30);
+        for nth in 1..=3 {
+            world.start_agent(nth, "wallet");
+        }
+        world.entry_balancer = world::balancer_address(2);
+        world.advance(500);
+        for _ in 0..3 {
+            world.send(key);
+            world.advance(300);
+        }
+        assert!(world.view(key).answers > 0, "the stream hangs");
+    }
+}
+
 /// The network doubles an opening, and two backend servers take it; the caller takes the answer of
 /// one, and the other crashes. Its agent must not reset the caller: the stream is open elsewhere.
 #[test]
