--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -364,7 +364,11 @@
     ) {
         let key = segment.head.key_from_host();
         self.silent_until = ids::UnixMillis(0);
-        if self.held.hear_host(key, &segment.head, now) {
+        let news = self.held.hear_host(key, &segment.head, now);
+        let opened = news.opened_ms.map(stream::StreamTiming::Opened);
+        let answered = news.answered_ms.map(stream::StreamTiming::Answered);
+        actions.extend(opened.into_iter().chain(answered).map(stream::StreamAction::Measure));
+        if news.is_proof {
             if segment.head.flags.opens {
                 let busy = self.held.busy();
                 actions.push(note(note::StreamNote::Accepted { stream: key, busy }));
--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -71,6 +71,17 @@
     ended_by_host: bool,
 }
 
+/// What a segment of the backend server tells.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HostNews {
+    /// Whether it is the first on its stream, which proves that the backend server holds it.
+    pub is_proof: bool,
+    /// How long the opening was without an answer, if this is the answer.
+    pub opened_ms: Option<u64>,
+    /// How long the last request was without an answer, if this is the answer's start.
+    pub answered_ms: Option<u64>,
+}
+
 /// The streams of one backend server.
 #[derive(Debug, Default)]
 pub struct HeldStreams {
@@ -139,14 +150,13 @@
         self.busy = change_phase(stream, next, self.busy, now);
     }
 
-    /// Takes in the backend server's segment; says whether it is the first one, which proves that
-    /// the backend server holds the stream.
+    /// Takes in the backend server's segment.
     pub fn hear_host(
         &mut self,
         key: segment::StreamKey,
         head: &segment::SegmentHead,
         now: ids::UnixMillis,
-    ) -> bool {
+    ) -> HostNews {
         let Some(stream) = self.streams.get_mut(&key) else {
             // Opened under an earlier run of the agent; a stream's end needs no entry.
             if !head.flags.resets {
@@ -159,7 +169,7 @@
                 };
                 self.streams.insert(key, stream);
             }
-            return false;
+            return HostNews::default();
         };
         stream.touched = now;
         let is_proof = !stream.spoken;
@@ -173,12 +183,19 @@
             _ if head.length > 0 || head.flags.ends => WorkPhase::Resting,
             phase => phase,
         };
-        if stream.phase == WorkPhase::Opening && next == WorkPhase::Expecting {
+        let elapsed = now.since(stream.since);
+        let is_opened = (stream.phase, next) == (WorkPhase::Opening, WorkPhase::Expecting);
+        let is_answered = (stream.phase, next) == (WorkPhase::Working, WorkPhase::Resting);
+        if is_opened {
             stream.first_sequence = Some(head.sequence);
             stream.opening = Vec::new();
         }
         self.busy = change_phase(stream, next, self.busy, now);
-        is_proof
+        HostNews {
+            is_proof,
+            opened_ms: is_opened.then_some(elapsed),
+            answered_ms: is_answered.then_some(elapsed),
+        }
     }
 
     /// Forgets a stream that the backend server does not hold.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -93,10 +93,21 @@
     Reset(segment::StreamKey, u32),
     /// Fetch the configuration from a process that holds a newer one.
     FetchConfig(net::SocketAddrV4),
+    /// Count how long something took.
+    Measure(StreamTiming),
     /// Log what was decided.
     Note(note::StreamNote),
 }
 
+/// How long something took at the backend server, in milliseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamTiming {
+    /// From an opening to its answer.
+    Opened(u64),
+    /// From a request's last data to the first of its answer.
+    Answered(u64),
+}
+
 /// How a process takes part in streams.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamConfig {
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -543,6 +543,7 @@
                 view.resets += 1;
             }
             stream::StreamAction::FetchConfig(_) => self.deliver_config(address),
+            stream::StreamAction::Measure(_) => {}
             stream::StreamAction::Note(note) => self.notes.push(note),
         }
     }
--- a/crates/node/src/stream/journal.rs
+++ b/crates/node/src/stream/journal.rs
@@ -1,6 +1,7 @@
 //! Log lines and metrics of decisions, bounded.
 
 use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::note;
 
 use crate::logs;
@@ -61,6 +62,22 @@
     }
 }
 
+/// Counts how long something took.
+pub(crate) fn measure(timing: stream::StreamTiming) {
+    match timing {
+        stream::StreamTiming::Opened(millis) => {
+            metrics::histogram!("rosemaryusher_stream_open_seconds").record(seconds(millis));
+        }
+        stream::StreamTiming::Answered(millis) => {
+            metrics::histogram!("rosemaryusher_stream_answer_seconds").record(seconds(millis));
+        }
+    }
+}
+
+fn seconds(millis: u64) -> f64 {
+    millis as f64 / 1_000.0
+}
+
 fn count(note: &note::StreamNote) {
     match note {
         note::StreamNote::Placed { .. } => {
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -261,6 +261,7 @@
                 }
                 // A fetch is under way if the ring is full.
                 stream::StreamAction::FetchConfig(from) => drop(self.fetches.try_send(from)),
+                stream::StreamAction::Measure(timing) => journal::measure(timing),
                 stream::StreamAction::Note(note) => self.journal.write(&note, now),
             }
         }
