Pass over openings that waited for a process while it stood still

Ruled out: silent agents (reports were 2 ms old when the first was placed). The clock of decisions now goes on through a suspension, so that what a process believed before is as old as it is. Tests balancer_frozen and agent_frozen; scripts/mutate.sh stream-stale-openings: noticed.

--- a/crates/core/src/stream/agent.rs
+++ b/crates/core/src/stream/agent.rs
@@ -16,6 +16,7 @@
 use crate::stream::host;
 use crate::stream::message;
 use crate::stream::note;
+use crate::stream::pause;
 use crate::stream::segment;
 
 /// How often every balancer hears of the work in progress, in milliseconds.
@@ -71,6 +72,7 @@
     state: sync::Arc<config::ConfigState>,
     host: host::HostState,
     held: held::HeldStreams,
+    pause: pause::PauseGuard,
     balancers: collections::HashMap<net::SocketAddrV4, KnownBalancer>,
     started: ids::UnixMillis,
     /// Whether every stream of the backend server was opened under this run of the agent.
@@ -90,6 +92,7 @@
             state: sync::Arc::default(),
             host: host::HostState::default(),
             held: held::HeldStreams::default(),
+            pause: pause::PauseGuard::new(now),
             balancers: collections::HashMap::new(),
             started: now,
             has_seen_all: false,
@@ -108,6 +111,9 @@
         event: stream::StreamEvent<'_>,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        if let Some(still_ms) = self.pause.note(now) {
+            actions.push(note(note::StreamNote::Resumed { still_ms }));
+        }
         match event {
             stream::StreamEvent::Segment(segment) if segment.head.flags.given_back => {
                 self.take_back(&segment, actions);
@@ -232,6 +238,7 @@
             is_owned: carry.kind == message::CarryKind::Held,
         };
         match segment.head.is_opening() {
+            true if self.pause.is_resuming(now) => {}
             true => match self.refusal(key, carry, now) {
                 Some(reason) => {
                     let message = self.returned(reason, segment.bytes);
--- a/crates/core/src/stream/balancer.rs
+++ b/crates/core/src/stream/balancer.rs
@@ -17,6 +17,7 @@
 use crate::stream::note;
 use crate::stream::owners;
 use crate::stream::parked;
+use crate::stream::pause;
 use crate::stream::segment;
 
 /// How often every agent and balancer hears of this one, in milliseconds.
@@ -53,6 +54,7 @@
     owners: owners::StreamOwners,
     searches: lookup::OwnerSearches,
     parked: parked::ParkedOpenings,
+    pause: pause::PauseGuard,
     peers: collections::BTreeMap<net::SocketAddrV4, PeerBalancer>,
     random: rngs::SmallRng,
     /// Whether the list of announced processes has been read in this run.
@@ -64,13 +66,14 @@
 
 impl StreamBalancer {
     /// A balancer that knows nothing yet.
-    pub fn new(config: stream::StreamConfig) -> StreamBalancer {
+    pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamBalancer {
         StreamBalancer {
             state: sync::Arc::default(),
             board: board::AgentBoard::new(config.data_centre),
             owners: owners::StreamOwners::default(),
             searches: lookup::OwnerSearches::default(),
             parked: parked::ParkedOpenings::default(),
+            pause: pause::PauseGuard::new(now),
             peers: collections::BTreeMap::new(),
             random: rngs::SmallRng::seed_from_u64(config.seed),
             knows_members: false,
@@ -88,7 +91,12 @@
         event: stream::StreamEvent<'_>,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        if let Some(still_ms) = self.pause.note(now) {
+            actions.push(note(note::StreamNote::Resumed { still_ms }));
+        }
         match event {
+            stream::StreamEvent::Segment(segment)
+                if segment.head.is_opening() && self.pause.is_resuming(now) => {}
             stream::StreamEvent::Segment(segment) => self.take_segment(&segment, now, actions),
             stream::StreamEvent::Message { from, message, head } => {
                 self.hear(from, message, head, now, actions);
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -15,6 +15,7 @@
 //! | [`note`] | what a decision tells the log |
 //! | [`owners`] | which agent one balancer sends each stream to |
 //! | [`parked`] | openings that wait until an agent is heard of |
+//! | [`pause`] | what a process does after it has stood still |
 //! | [`lookup`] | the search for a stream whose owner is not known |
 //! | [`balancer`] | where a caller's segment goes, and what is refused |
 
@@ -28,6 +29,7 @@
 pub mod note;
 pub mod owners;
 pub mod parked;
+pub mod pause;
 pub mod segment;
 
 use std::net;
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -158,6 +158,11 @@
         /// Whether it is heard.
         is_heard: bool,
     },
+    /// The process has stood still; openings are passed over for a moment.
+    Resumed {
+        /// For how long, in milliseconds.
+        still_ms: u64,
+    },
     /// A configuration is in force.
     ConfigInForce {
         /// Its generation.
@@ -174,6 +179,7 @@
                 | StreamNote::HostChanged { .. }
                 | StreamNote::StaleReport { .. }
                 | StreamNote::BalancerChanged { .. }
+                | StreamNote::Resumed { .. }
                 | StreamNote::ConfigInForce { .. }
         )
     }
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -433,6 +433,49 @@
     assert!(world.view(key).first.is_some());
 }
 
+/// A balancer stands still for three seconds while callers go on sending to it. What waits for it
+/// when it wakes are openings whose callers have given up. Handed on, they would fill the hosts'
+/// slots with streams that nobody uses, and callers who still wait would be refused.
+#[test]
+fn balancer_frozen() {
+    let mut world = world::StreamWorld::with_slots(2);
+    world.frozen.insert(world::balancer_address(1));
+    for caller in 0..40 {
+        world.open(world::key(caller, 0), 0);
+        world.advance(75);
+    }
+    world.thaw();
+    world.advance(150);
+    let openings: usize = world.hosts.values().map(|host| host.openings.len()).sum();
+    assert_eq!(openings, 0, "a stale opening reached a backend server");
+    let key = world::key(100, 0);
+    world.open(key, 1);
+    world.advance(20);
+    assert!(world.view(key).first.is_some());
+}
+
+/// The same with an agent that stands still, and openings that its balancers sent meanwhile.
+#[test]
+fn agent_frozen() {
+    let mut world = world::StreamWorld::calm();
+    for nth in 1..=3 {
+        world.frozen.insert(world::agent_address(nth));
+    }
+    for caller in 0..10 {
+        world.open(world::key(caller, 0), 0);
+    }
+    world.advance(2_000);
+    world.thaw();
+    world.advance(100);
+    let openings: usize = world.hosts.values().map(|host| host.openings.len()).sum();
+    assert_eq!(openings, 0, "a stale opening reached a backend server");
+    world.advance(600);
+    let key = world::key(100, 0);
+    world.open(key, 0);
+    world.advance(20);
+    assert!(world.view(key).first.is_some());
+}
+
 /// A balancer is told to shut down; the network goes on sending it segments for a second. Agents
 /// that stopped reporting to it at once would look silent to it within that time, and it would
 /// refuse callers although every host has room.
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -112,6 +112,18 @@
     FromCaller { balancer: net::SocketAddrV4, head: segment::SegmentHead },
 }
 
+impl Envelope {
+    /// The process that it is for, unless it is for an end of a stream.
+    fn receiver(&self) -> Option<net::SocketAddrV4> {
+        match self {
+            Envelope::Message { to, .. } => Some(*to),
+            Envelope::FromHost { agent, .. } => Some(*agent),
+            Envelope::FromCaller { balancer, .. } => Some(*balancer),
+            Envelope::ToHost { .. } | Envelope::ToCaller { .. } => None,
+        }
+    }
+}
+
 pub(crate) struct StreamWorld {
     pub(crate) now: ids::UnixMillis,
     pub(crate) balancers: collections::BTreeMap<net::SocketAddrV4, balancer::StreamBalancer>,
@@ -121,6 +133,9 @@
     pub(crate) notes: Vec<note::StreamNote>,
     /// Processes that no message reaches or leaves.
     pub(crate) cut: collections::BTreeSet<net::SocketAddrV4>,
+    /// Processes that stand still, and what waits for them.
+    pub(crate) frozen: collections::BTreeSet<net::SocketAddrV4>,
+    waiting: Vec<Envelope>,
     /// The balancer that the network sends callers' segments to.
     pub(crate) entry_balancer: net::SocketAddrV4,
     pub(crate) newest: config::ConfigDelta,
@@ -143,6 +158,8 @@
             callers: collections::BTreeMap::new(),
             notes: Vec::new(),
             cut: collections::BTreeSet::new(),
+            frozen: collections::BTreeSet::new(),
+            waiting: Vec::new(),
             entry_balancer: balancer_address(1),
             newest: config::ConfigDelta::default(),
             allowed: collections::BTreeSet::new(),
@@ -210,7 +227,7 @@
     pub(crate) fn start_balancer(&mut self, nth: u8) {
         let address = balancer_address(nth);
         let config = self.stream_config(address, "");
-        self.balancers.insert(address, balancer::StreamBalancer::new(config));
+        self.balancers.insert(address, balancer::StreamBalancer::new(config, self.now));
         self.announced.insert((address, None));
         self.read_members(address);
         self.deliver_config(address);
@@ -327,18 +344,33 @@
                 let all: Vec<_> =
                     self.balancers.keys().chain(self.agents.keys()).copied().collect();
                 for address in all {
-                    self.handle(address, stream::StreamEvent::Tick);
+                    if !self.frozen.contains(&address) {
+                        self.handle(address, stream::StreamEvent::Tick);
+                    }
                 }
             }
         }
     }
 
+    /// Lets processes that stand still go on with what waits for them.
+    pub(crate) fn thaw(&mut self) {
+        self.frozen.clear();
+        for envelope in std::mem::take(&mut self.waiting) {
+            self.post(0, envelope);
+        }
+    }
+
     fn deliver_due(&mut self) {
         while let Some(entry) = self.queue.first_entry() {
             if entry.key().0 > self.now {
                 return;
             }
-            match entry.remove() {
+            let envelope = entry.remove();
+            if envelope.receiver().is_some_and(|to| self.frozen.contains(&to)) {
+                self.waiting.push(envelope);
+                continue;
+            }
+            match envelope {
                 Envelope::Message { from, to, message } => self.deliver_message(from, to, &message),
                 Envelope::ToHost { agent, marks, bytes } => {
                     self.deliver_to_host(agent, marks, &bytes)
@@ -477,7 +509,7 @@
     }
 
     fn report_host(&mut self, agent: net::SocketAddrV4) {
-        if !self.agents.contains_key(&agent) {
+        if !self.agents.contains_key(&agent) || self.frozen.contains(&agent) {
             return;
         }
         let Some(host) = self.hosts.get_mut(&agent) else { return };
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -3,14 +3,16 @@
 use std::time;
 
 use rosemaryusher_core::ids;
+use rustix::time as kernel_time;
 
-/// Wall time at the start of the process, moved on by the monotonic clock.
+/// Wall time at the start of the process, moved on by the kernel's clock since boot.
 ///
-/// Steps of the wall clock while the process runs do not reach the decisions.
+/// Steps of the wall clock while the process runs do not reach the decisions. The clock goes on
+/// while the machine is suspended: what a process believed before is as old as it looks to others.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
     started: ids::UnixMillis,
-    origin: time::Instant,
+    origin_ms: u64,
 }
 
 impl ProcessClock {
@@ -18,12 +20,12 @@
     pub fn start() -> ProcessClock {
         let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
         let millis = elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64);
-        ProcessClock { started: ids::UnixMillis(millis), origin: time::Instant::now() }
+        ProcessClock { started: ids::UnixMillis(millis), origin_ms: since_boot_ms() }
     }
 
     /// The time now.
     pub fn now(&self) -> ids::UnixMillis {
-        self.started.plus(self.origin.elapsed().as_millis() as u64)
+        self.started.plus(since_boot_ms().saturating_sub(self.origin_ms))
     }
 
     /// The time at the start of the process.
@@ -31,3 +33,8 @@
         self.started
     }
 }
+
+fn since_boot_ms() -> u64 {
+    let now = kernel_time::clock_gettime(kernel_time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -85,7 +85,9 @@
         seed: rand::rng().next_u64(),
     };
     let engine = match service {
-        None => role::StreamRole::Balancer(Box::new(balancer::StreamBalancer::new(config))),
+        None => {
+            role::StreamRole::Balancer(Box::new(balancer::StreamBalancer::new(config, clock.now())))
+        }
         Some(_) => role::StreamRole::Agent(Box::new(agent::StreamAgent::new(config, clock.now()))),
     };
     let (inputs, input_ends) = rings::ring();
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -64,6 +64,7 @@
 stream-no-admission	crates/core/src/stream/agent.rs	s/host::HostPhase::Serving if self\.held\.busy\(\) >= limit => \{\s*Some\(message::ReturnReason::Full\)\s*\}//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > EXPECT_MS => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-late-report-taken	crates/core/src/stream/host.rs	s/_ if self\.ended\.contains\(&report\.run\) => ReportOutcome::Stale,//	-p rosemaryusher-core --test stream_moves late_reports
+stream-stale-openings	crates/core/src/stream/pause.rs	s/const PAUSE_MS: u64 = 500/const PAUSE_MS: u64 = u64::MAX/	-p rosemaryusher-core --test stream_moves frozen
 marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !BOUNCED;//	-p rosemaryusher-platform --test head_codec marks_removed
 lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
 TABLE
