Split the engines of streams by duty

The balancer's and the agent's each had 600 lines and more: openings, routing, admission, the backend server and the neighbours stand apart now.

--- /dev/null
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -0,0 +1,173 @@
+//! What the backend server reports, sends and gives back.
+
+use std::net;
+
+use crate::ids;
+use crate::stream;
+use crate::stream::agent;
+use crate::stream::host;
+use crate::stream::message;
+use crate::stream::note;
+use crate::stream::segment;
+
+/// How long the backend server may take to answer an opening, in milliseconds.
+///
+/// It does so at once, before any work: far more than that means that it hangs or is gone, and the
+/// caller's own copy only comes after 200 ms.
+const OPENING_ANSWER_MS: u64 = 80;
+
+/// How long a backend server that left openings unanswered gets no more, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
+
+impl agent::StreamAgent {
+    pub(super) fn hear_host(
+        &mut self,
+        report: &host::HostReport,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let outcome = self.host.hear(report, now);
+        let mut reset = 0;
+        match outcome {
+            host::ReportOutcome::Unchanged => return,
+            host::ReportOutcome::Stale => {
+                let run = report.run.clone();
+                let sequence = report.sequence;
+                actions.push(stream::StreamAction::Note(note::StreamNote::StaleReport {
+                    run,
+                    sequence,
+                }));
+                return;
+            }
+            // Whether an earlier run of the agent handed it streams is not known.
+            host::ReportOutcome::Changed => {}
+            host::ReportOutcome::Replaced { alive_at } => {
+                reset = self.reset_opened_until(alive_at, actions);
+                self.has_seen_all = true;
+                self.silent_until = ids::UnixMillis(0);
+            }
+        }
+        actions.push(stream::StreamAction::Note(note::StreamNote::HostChanged {
+            run: report.run.clone(),
+            phase: self.phase(now),
+            slots: report.slots,
+            sequence: report.sequence,
+            reset,
+        }));
+        self.report(now, actions);
+    }
+
+    pub(super) fn host_left(
+        &mut self,
+        run: &str,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if !self.host.leave(run) {
+            return;
+        }
+        let reset = self.reset_opened_until(now, actions);
+        actions.push(stream::StreamAction::Note(note::StreamNote::HostChanged {
+            run: run.to_owned(),
+            phase: host::HostPhase::Gone,
+            slots: self.host.slots(),
+            sequence: 0,
+            reset,
+        }));
+        self.report(now, actions);
+    }
+
+    /// Resets the streams of a run that is over, so that their callers can try again in time.
+    ///
+    /// Without it they would send into nothing until their deadline. The run is known to be dead,
+    /// so no stream that could go on is cut.
+    pub(super) fn reset_opened_until(
+        &mut self,
+        limit: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) -> usize {
+        let open = self.held.remove_opened_until(limit);
+        for (key, stream) in &open {
+            actions.push(stream::StreamAction::Reset(*key, stream.caller_expects));
+        }
+        open.len()
+    }
+
+    /// Takes a segment that the backend server gave back.
+    pub(super) fn take_back(
+        &mut self,
+        segment: &segment::StreamSegment<'_>,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let key = segment.head.key_from_caller();
+        let reason = match segment.head.is_opening() {
+            true => message::ReturnReason::Shed,
+            false => message::ReturnReason::NotHeld,
+        };
+        self.held.remove(key);
+        let balancer =
+            net::SocketAddrV4::new(segment.head.marks.origin, self.config.address.port());
+        let message = self.returned(reason, segment.bytes);
+        actions.push(stream::StreamAction::Note(note::StreamNote::returned(
+            key,
+            self.config.address,
+            reason,
+        )));
+        actions.push(stream::StreamAction::Tell(balancer, message));
+    }
+
+    /// Sends a segment of the backend server straight to its caller.
+    pub(super) fn pass_out(
+        &mut self,
+        segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let key = segment.head.key_from_host();
+        self.silent_until = ids::UnixMillis(0);
+        let news = self.held.hear_host(key, &segment.head, now);
+        let opened = news.opened_ms.map(stream::StreamTiming::Opened);
+        let answered = news.answered_ms.map(stream::StreamTiming::Answered);
+        actions.extend(opened.into_iter().chain(answered).map(stream::StreamAction::Measure));
+        if news.is_proof {
+            if segment.head.flags.opens {
+                let busy = self.held.busy();
+                actions.push(stream::StreamAction::Note(note::StreamNote::Accepted {
+                    stream: key,
+                    busy,
+                }));
+            }
+            if let Some(stream) = self.held.get(key) {
+                let message = message::StreamMessage::Held {
+                    key,
+                    first_sequence: stream.first_sequence,
+                    load: self.load(),
+                };
+                actions.push(stream::StreamAction::Tell(stream.balancer, message));
+            }
+        }
+        actions.push(stream::StreamAction::Answer(*key.caller.ip(), segment.bytes.to_vec()));
+    }
+
+    /// Has openings placed elsewhere that the backend server leaves unanswered.
+    ///
+    /// The caller repeats its opening only after 200 ms, and its balancer would send that one here
+    /// again; two such waits are longer than callers' aims.
+    pub(super) fn give_back_unanswered(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let limit = ids::UnixMillis(now.0.saturating_sub(OPENING_ANSWER_MS));
+        while let Some((key, stream)) = self.held.pop_unanswered(limit) {
+            self.silent_until = now.plus(SILENCE_MS);
+            let waited_ms = OPENING_ANSWER_MS;
+            actions.push(stream::StreamAction::Note(note::StreamNote::Unanswered {
+                stream: key,
+                waited_ms,
+            }));
+            let message = self.returned(message::ReturnReason::Silent, &stream.opening);
+            actions.push(stream::StreamAction::Tell(stream.balancer, message));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/agent/mod.rs
@@ -0,0 +1,242 @@
+//! What one backend server is handed, and what it gives back.
+//!
+//! The agent keeps alone what must hold of its backend server: no opening for another service, none
+//! once it has said that it leaves, no more at a time than it has slots for unless the balancer
+//! knows of no better place.
+
+mod admission;
+mod hosting;
+mod neighbours;
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use crate::config;
+use crate::ids;
+use crate::load;
+use crate::stream;
+use crate::stream::held;
+use crate::stream::host;
+use crate::stream::message;
+use crate::stream::note;
+use crate::stream::pause;
+use crate::stream::segment;
+
+/// How often every balancer hears of the work in progress, in milliseconds.
+///
+/// Placement compares reports and what was sent since; at 100 ms a host with 5 slots and 40 ms a
+/// request has turned over a dozen requests, about as many as one balancer sends it meanwhile.
+pub const REPORT_MS: u64 = 100;
+
+/// How long a balancer that is not heard still gets reports, in milliseconds.
+const BALANCER_KEPT_MS: u64 = 30_000;
+
+/// A balancer counts as heard for so long after its last report, in milliseconds.
+const BALANCER_HEARD_MS: u64 = 2_000;
+
+#[derive(Clone, Copy, Debug)]
+struct KnownBalancer {
+    heard: ids::UnixMillis,
+    is_heard: bool,
+    is_leaving: bool,
+}
+
+impl KnownBalancer {
+    fn unheard(now: ids::UnixMillis) -> KnownBalancer {
+        KnownBalancer { heard: now, is_heard: false, is_leaving: false }
+    }
+
+    /// How long it is told of after its last report.
+    fn kept_ms(&self) -> u64 {
+        if self.is_leaving { BALANCER_HEARD_MS } else { BALANCER_KEPT_MS }
+    }
+}
+
+/// What one agent decides of streams.
+#[derive(Debug)]
+pub struct StreamAgent {
+    config: stream::StreamConfig,
+    state: sync::Arc<config::ConfigState>,
+    host: host::HostState,
+    held: held::HeldStreams,
+    pause: pause::PauseGuard,
+    balancers: collections::HashMap<net::SocketAddrV4, KnownBalancer>,
+    started: ids::UnixMillis,
+    /// Whether every stream of the backend server was opened under this run of the agent.
+    has_seen_all: bool,
+    silent_until: ids::UnixMillis,
+    reported: ids::UnixMillis,
+    report_sequence: u64,
+    is_leaving: bool,
+}
+
+impl StreamAgent {
+    /// An agent that knows nothing yet.
+    pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamAgent {
+        StreamAgent {
+            config,
+            state: sync::Arc::default(),
+            host: host::HostState::default(),
+            held: held::HeldStreams::default(),
+            pause: pause::PauseGuard::new(now),
+            balancers: collections::HashMap::new(),
+            started: now,
+            has_seen_all: false,
+            silent_until: ids::UnixMillis(0),
+            reported: ids::UnixMillis(0),
+            report_sequence: 0,
+            is_leaving: false,
+        }
+    }
+
+    /// Takes in an event.
+    pub fn handle(
+        &mut self,
+        now: ids::UnixMillis,
+        event: stream::StreamEvent<'_>,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if let Some(still_ms) = self.pause.note(now) {
+            actions.push(stream::StreamAction::Note(note::StreamNote::Resumed { still_ms }));
+        }
+        match event {
+            stream::StreamEvent::Segment(segment) if segment.head.flags.given_back => {
+                self.take_back(&segment, actions);
+            }
+            stream::StreamEvent::Segment(segment) => self.pass_out(&segment, now, actions),
+            stream::StreamEvent::Message { from, message, head } => {
+                self.hear(from, message, head, now, actions);
+            }
+            stream::StreamEvent::Config(state) => {
+                if state.generation() > self.state.generation() {
+                    let generation = state.generation();
+                    actions.push(stream::StreamAction::Note(note::StreamNote::ConfigInForce {
+                        generation,
+                    }));
+                    self.state = state;
+                }
+            }
+            stream::StreamEvent::Seeds(seeds) => self.meet(&seeds, now, actions),
+            stream::StreamEvent::Members(members) => {
+                let balancers = members.iter().filter(|member| member.service.is_none());
+                let balancers: Vec<_> = balancers.map(|member| member.address).collect();
+                self.meet(&balancers, now, actions);
+            }
+            stream::StreamEvent::Platform(_) => {}
+            stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
+            stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
+            stream::StreamEvent::Leave => {
+                self.is_leaving = true;
+                self.report(now, actions);
+            }
+            stream::StreamEvent::Tick => self.tick(now, actions),
+        }
+    }
+
+    fn hear(
+        &mut self,
+        from: net::SocketAddrV4,
+        message: &message::StreamMessage,
+        head: Option<segment::SegmentHead>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        match (message, head) {
+            (message::StreamMessage::Carry(carry), Some(head)) => {
+                let segment = segment::StreamSegment { head, bytes: &carry.segment };
+                self.take_carried(from, carry, &segment, now, actions);
+            }
+            (message::StreamMessage::Find { key, caller_expects }, _) => {
+                let message = match self.held.get(*key) {
+                    Some(stream) if !stream.matches(*caller_expects) => {
+                        message::StreamMessage::Absent { key: *key, is_sure: true }
+                    }
+                    Some(stream) if self.held.is_open(*key) => message::StreamMessage::Held {
+                        key: *key,
+                        first_sequence: stream.first_sequence,
+                        load: self.load(),
+                    },
+                    _ => message::StreamMessage::Absent { key: *key, is_sure: self.is_sure(now) },
+                };
+                actions.push(stream::StreamAction::Tell(from, message));
+            }
+            (message::StreamMessage::Balancer(report), _) => {
+                self.hear_balancer(from, report, now, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
+        self.give_back_unanswered(now, actions);
+        if now.since(self.reported) < REPORT_MS {
+            return;
+        }
+        let idle_ms = self.config.stream_limit_s * 1_000;
+        self.held.sweep(idle_ms, now);
+        self.forget_balancers(now, actions);
+        self.report(now, actions);
+    }
+}
+
+impl StreamAgent {
+    /// Whether the backend server takes new streams, as balancers are told.
+    pub fn phase(&self, now: ids::UnixMillis) -> host::HostPhase {
+        match self.host.phase(self.config.host_report_ms, now) {
+            host::HostPhase::Serving if self.is_leaving => host::HostPhase::Draining,
+            host::HostPhase::Serving if now < self.silent_until => host::HostPhase::Unknown,
+            phase => phase,
+        }
+    }
+
+    /// What is in progress at the backend server.
+    pub fn load(&self) -> load::LoadReport {
+        let slots = self.host.slots();
+        let busy = self.held.busy();
+        load::LoadReport {
+            sequence: self.report_sequence,
+            running: busy.min(slots),
+            queued: busy.saturating_sub(slots),
+            slots,
+            flows: self.held.open_streams(),
+            connections: self.limit_of_streams(),
+            failing: false,
+        }
+    }
+
+    /// The configuration that this agent holds.
+    pub fn state(&self) -> &config::ConfigState {
+        &self.state
+    }
+
+    /// Whether a balancer has been heard lately.
+    pub fn hears_balancer(&self) -> bool {
+        self.balancers.values().any(|known| known.is_heard)
+    }
+
+    /// Whether the backend server is there, as far as it has not said that it has left.
+    pub fn has_host(&self) -> bool {
+        self.host.is_there()
+    }
+
+    /// Whether requests are in progress at the backend server.
+    pub fn is_busy(&self) -> bool {
+        self.held.busy() > 0
+    }
+
+    /// How many streams the backend server holds.
+    pub fn streams(&self) -> u32 {
+        self.held.open_streams()
+    }
+
+    fn limit_of_streams(&self) -> u32 {
+        self.state.service(self.config.service).map_or(u32::MAX, |spec| spec.host_connections)
+    }
+
+    /// Whether the agent has seen every stream that its backend server may hold.
+    fn is_sure(&self, now: ids::UnixMillis) -> bool {
+        let is_old = now.since(self.started) > self.config.stream_limit_s * 1_000;
+        self.has_seen_all || is_old
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -0,0 +1,89 @@
+//! What an agent hears of balancers, and tells them.
+
+use std::net;
+
+use crate::ids;
+use crate::stream;
+use crate::stream::agent;
+use crate::stream::message;
+use crate::stream::note;
+
+impl agent::StreamAgent {
+    pub(super) fn meet(
+        &mut self,
+        balancers: &[net::SocketAddrV4],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        for balancer in balancers {
+            let unknown = agent::KnownBalancer::unheard(now);
+            self.balancers.entry(*balancer).or_insert(unknown);
+        }
+        self.report(now, actions);
+    }
+
+    pub(super) fn hear_balancer(
+        &mut self,
+        from: net::SocketAddrV4,
+        report: &message::BalancerReport,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let unknown = agent::KnownBalancer::unheard(now);
+        for other in &report.balancers {
+            self.balancers.entry(*other).or_insert(unknown);
+        }
+        let known = self.balancers.entry(from).or_insert(unknown);
+        known.heard = now;
+        // The network sends to a balancer for a while after it has said that it leaves, and until
+        // then it needs reports like any other.
+        known.is_leaving = report.is_leaving;
+        if !known.is_heard {
+            known.is_heard = true;
+            let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
+            actions.push(stream::StreamAction::Note(changed));
+            let report = self.own_report(now);
+            actions.push(stream::StreamAction::Tell(from, report));
+        }
+        if report.generation > self.state.generation() {
+            actions.push(stream::StreamAction::FetchConfig(from));
+        }
+    }
+
+    pub(super) fn forget_balancers(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        self.balancers.retain(|_, known| now.since(known.heard) <= known.kept_ms());
+        for (balancer, known) in &mut self.balancers {
+            if known.is_heard && now.since(known.heard) > agent::BALANCER_HEARD_MS {
+                known.is_heard = false;
+                let balancer = *balancer;
+                let changed = note::StreamNote::BalancerChanged { balancer, is_heard: false };
+                actions.push(stream::StreamAction::Note(changed));
+            }
+        }
+    }
+
+    pub(super) fn report(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
+        self.reported = now;
+        self.report_sequence += 1;
+        let report = self.own_report(now);
+        for balancer in self.balancers.keys() {
+            actions.push(stream::StreamAction::Tell(*balancer, report.clone()));
+        }
+    }
+
+    pub(super) fn own_report(&self, now: ids::UnixMillis) -> message::StreamMessage {
+        message::StreamMessage::Agent(message::AgentReport {
+            agent: self.config.instance,
+            service: self.config.service,
+            data_centre: self.config.data_centre,
+            phase: self.phase(now),
+            slow_left_ms: self.host.slow_left_ms(now),
+            load: self.load(),
+            generation: self.state.generation(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -0,0 +1,238 @@
+//! Where a caller's segment goes, and what is refused.
+
+mod neighbours;
+mod openings;
+mod routing;
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use rand::SeedableRng as _;
+use rand::rngs;
+
+use crate::config;
+use crate::ids;
+use crate::stream;
+use crate::stream::board;
+use crate::stream::lookup;
+use crate::stream::message;
+use crate::stream::note;
+use crate::stream::owners;
+use crate::stream::parked;
+use crate::stream::pause;
+use crate::stream::segment;
+
+/// How often every agent and balancer hears of this one, in milliseconds.
+///
+/// A newer configuration is noticed by it, and a new balancer is: both have seconds.
+const REPORT_MS: u64 = 200;
+
+#[derive(Clone, Copy, Debug)]
+struct PeerBalancer {
+    heard: ids::UnixMillis,
+    is_heard: bool,
+    is_leaving: bool,
+    reaches_platform: bool,
+}
+
+/// What one balancer decides of streams.
+#[derive(Debug)]
+pub struct StreamBalancer {
+    config: stream::StreamConfig,
+    state: sync::Arc<config::ConfigState>,
+    board: board::AgentBoard,
+    owners: owners::StreamOwners,
+    searches: lookup::OwnerSearches,
+    parked: parked::ParkedOpenings,
+    pause: pause::PauseGuard,
+    peers: collections::BTreeMap<net::SocketAddrV4, PeerBalancer>,
+    random: rngs::SmallRng,
+    /// Whether the list of announced processes has been read in this run.
+    knows_members: bool,
+    reported: ids::UnixMillis,
+    reaches_platform: bool,
+    is_leaving: bool,
+}
+
+impl StreamBalancer {
+    /// A balancer that knows nothing yet.
+    pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamBalancer {
+        StreamBalancer {
+            state: sync::Arc::default(),
+            board: board::AgentBoard::new(config.data_centre),
+            owners: owners::StreamOwners::default(),
+            searches: lookup::OwnerSearches::default(),
+            parked: parked::ParkedOpenings::default(),
+            pause: pause::PauseGuard::new(now),
+            peers: collections::BTreeMap::new(),
+            random: rngs::SmallRng::seed_from_u64(config.seed),
+            knows_members: false,
+            reported: ids::UnixMillis(0),
+            reaches_platform: false,
+            is_leaving: false,
+            config,
+        }
+    }
+
+    /// Takes in an event.
+    pub fn handle(
+        &mut self,
+        now: ids::UnixMillis,
+        event: stream::StreamEvent<'_>,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if let Some(still_ms) = self.pause.note(now) {
+            actions.push(stream::StreamAction::Note(note::StreamNote::Resumed { still_ms }));
+        }
+        match event {
+            stream::StreamEvent::Segment(segment)
+                if segment.head.is_opening() && self.pause.is_resuming(now) => {}
+            stream::StreamEvent::Segment(segment) => self.take_segment(&segment, now, actions),
+            stream::StreamEvent::Message { from, message, head } => {
+                self.hear(from, message, head, now, actions);
+            }
+            stream::StreamEvent::Config(state) => {
+                if state.generation() > self.state.generation() {
+                    let generation = state.generation();
+                    actions.push(stream::StreamAction::Note(note::StreamNote::ConfigInForce {
+                        generation,
+                    }));
+                    self.state = state;
+                    self.report(now, actions);
+                }
+            }
+            stream::StreamEvent::Seeds(seeds) => {
+                for balancer in seeds {
+                    self.meet(balancer, now);
+                }
+                self.report(now, actions);
+            }
+            stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
+            stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
+            stream::StreamEvent::HostReport(_) | stream::StreamEvent::HostLeft(_) => {}
+            stream::StreamEvent::Leave => {
+                self.is_leaving = true;
+                self.report(now, actions);
+            }
+            stream::StreamEvent::Tick => self.tick(now, actions),
+        }
+    }
+
+    fn hear(
+        &mut self,
+        from: net::SocketAddrV4,
+        message: &message::StreamMessage,
+        head: Option<segment::SegmentHead>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        match (message, head) {
+            (message::StreamMessage::Return(returned), Some(head)) => {
+                self.take_returned(from, returned, &head, now, actions);
+            }
+            (message::StreamMessage::Held { key, first_sequence, load }, _) => {
+                self.board.hear_load(from, *load, now);
+                self.take_held(from, *key, *first_sequence, now, actions);
+            }
+            (message::StreamMessage::Absent { key, is_sure }, _) => {
+                if let Some(search) = self.searches.deny(*key, from, *is_sure) {
+                    self.conclude(*key, search, now, actions);
+                }
+            }
+            (message::StreamMessage::Agent(report), _) => {
+                self.hear_agent(from, report, now, actions);
+            }
+            (message::StreamMessage::Balancer(report), _) => {
+                self.hear_balancer(from, report, now, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
+        for (key, search) in self.searches.expire(now) {
+            self.conclude(key, search, now, actions);
+        }
+        for agent in self.board.sweep(now) {
+            let known = self.board.get(agent).and_then(|known| known.report.as_ref());
+            if let Some(report) = known {
+                actions.push(stream::StreamAction::Note(note::StreamNote::AgentChanged {
+                    agent,
+                    run: report.agent.to_string(),
+                    phase: report.phase,
+                    is_heard: false,
+                }));
+            }
+        }
+        self.place_parked(now, actions);
+        self.owners.turn(now);
+        if now.since(self.reported) >= REPORT_MS {
+            self.forget_peers(now, actions);
+            self.report(now, actions);
+        }
+    }
+
+    fn reset(
+        &mut self,
+        key: segment::StreamKey,
+        sequence: u32,
+        reason: note::ResetReason,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        self.owners.remove(key);
+        let generation = self.state.generation().0;
+        actions.push(stream::StreamAction::Note(note::StreamNote::Reset {
+            stream: key,
+            reason,
+            generation,
+        }));
+        actions.push(stream::StreamAction::Reset(key, sequence));
+    }
+}
+
+impl StreamBalancer {
+    /// The configuration that this balancer holds.
+    pub fn state(&self) -> &config::ConfigState {
+        &self.state
+    }
+
+    /// Whether it can place streams: it has a configuration, knows agents and stays.
+    pub fn is_ready(&self) -> bool {
+        let has_config = self.state.generation() > ids::ConfigGeneration(0);
+        has_config && !self.is_leaving && self.board.heard().next().is_some()
+    }
+
+    /// Whether this balancer is one of the first `limit` of those that reach the platform.
+    ///
+    /// Each of the others need not watch the platform: it hears from these. Views differ for a
+    /// while, so there may be a few more or fewer, which costs some calls or some milliseconds.
+    pub fn is_watcher(&self, limit: usize) -> bool {
+        let rank = |address: &net::SocketAddrV4| {
+            ids::mix_words(u64::from(address.ip().to_bits()), u64::from(address.port()))
+        };
+        let own = rank(&self.config.address);
+        let reaching = self.peers.iter().filter(|(_, peer)| peer.is_heard && peer.reaches_platform);
+        reaching.filter(|(address, _)| rank(address) > own).count() < limit
+    }
+
+    /// Whether another balancer has been heard lately.
+    pub fn hears_balancer(&self) -> bool {
+        self.peers.values().any(|peer| peer.is_heard)
+    }
+
+    /// How many streams and searches there are.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.owners.len(), self.searches.len())
+    }
+
+    /// What is known of the agents.
+    pub fn board(&self) -> &board::AgentBoard {
+        &self.board
+    }
+
+    fn service_at(&self, key: segment::StreamKey) -> Option<ids::ServiceId> {
+        let entry = self.state.entry_at(net::SocketAddr::V4(key.entry));
+        entry.filter(|e| e.kind == config::EntryKind::Streams).map(|entry| entry.service)
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -0,0 +1,184 @@
+//! Openings: which agent each goes to, and what is refused.
+
+use std::net;
+
+use crate::ids;
+use crate::stream;
+use crate::stream::balancer;
+use crate::stream::host;
+use crate::stream::message;
+use crate::stream::note;
+use crate::stream::owners;
+use crate::stream::parked;
+use crate::stream::segment;
+
+/// How many agents may have an opening although their slots are in use, before it is refused.
+///
+/// A full host answers within a round trip; two more tries cost the caller a few milliseconds and
+/// find the host that has just given back a slot.
+const QUEUED_TRIES: usize = 3;
+
+impl balancer::StreamBalancer {
+    pub(super) fn open(
+        &mut self,
+        key: segment::StreamKey,
+        service: ids::ServiceId,
+        segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let owner = match self.owners.touch(key) {
+            Some(owner) if !owner.is_over(now) => Some(owner),
+            _ => None,
+        };
+        let copies = segment.head.acknowledged;
+        let (holder, repeated) = match owner {
+            Some(owner) => {
+                // The network itself may double a segment: that is no new try of the caller.
+                let is_new = copies > owner.copies;
+                owner.copies = owner.copies.max(copies);
+                let last = owner.tried.last().copied().filter(|_| !is_new);
+                (owner.holders.first().map(|(agent, _)| *agent), last)
+            }
+            None => (None, None),
+        };
+        match holder.or(repeated) {
+            _ if self.parked.contains(key) => {}
+            // The answer to an earlier copy was lost on its way to the caller.
+            Some(agent) if self.board.is_fresh(agent, now) => {
+                self.carry(agent, message::CarryKind::Open, segment.bytes, actions, key);
+            }
+            _ => self.place(key, service, segment.bytes, now, actions),
+        }
+    }
+
+    /// Sends an opening to the best agent that has not had it yet.
+    pub(super) fn place(
+        &mut self,
+        key: segment::StreamKey,
+        service: ids::ServiceId,
+        bytes: &[u8],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let is_known = self.owners.touch(key).is_some_and(|owner| !owner.is_over(now));
+        if !is_known {
+            self.owners.put(key, owners::StreamOwner::new(now));
+        }
+        let Some(owner) = self.owners.touch(key) else { return };
+        let tried = owner.tried.len() + owner.queued.len();
+        let free = self.board.choose(service, &owner.tried, now, &mut self.random);
+        let (kind, choice) = match free {
+            Some(choice) if choice.has_room => (message::CarryKind::Open, choice),
+            _ if owner.queued.len() >= QUEUED_TRIES => {
+                return self.reset(key, 0, note::ResetReason::AllRefused, actions);
+            }
+            _ => match self.board.choose(service, &owner.queued, now, &mut self.random) {
+                Some(choice) => (message::CarryKind::OpenQueued, choice),
+                None if owner.queued.is_empty() => return self.park(key, bytes, now, actions),
+                None => return self.reset(key, 0, note::ResetReason::AllRefused, actions),
+            },
+        };
+        if kind == message::CarryKind::OpenQueued {
+            owner.queued.push(choice.address);
+        }
+        owner.tried.retain(|agent| *agent != choice.address);
+        owner.tried.push(choice.address);
+        self.board.note_sent(choice.address);
+        actions.push(stream::StreamAction::Note(note::StreamNote::Placed {
+            stream: key,
+            agent: choice.address,
+            tried,
+            busy: choice.busy,
+            report_age_ms: choice.report_age_ms,
+            generation: self.state.generation().0,
+        }));
+        self.carry(choice.address, kind, bytes, actions, key);
+    }
+
+    /// Has an opening wait for an agent, or gives it up where it has waited long enough.
+    pub(super) fn park(
+        &mut self,
+        key: segment::StreamKey,
+        bytes: &[u8],
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let opened = self.owners.touch(key).map_or(now, |owner| owner.opened);
+        let opening = parked::ParkedOpening { key, bytes: bytes.to_vec() };
+        if self.parked.park(opening, opened, now) {
+            return;
+        }
+        let hears_agents = self.board.heard().next().is_some();
+        match hears_agents {
+            true => self.reset(key, 0, note::ResetReason::NoAgent, actions),
+            // Cut off or just started: that nobody is there is not known. The caller's next copy
+            // may come through a balancer that knows more.
+            false => self.owners.remove(key),
+        }
+    }
+
+    /// Tries the openings that wait once more, with all agents.
+    pub(super) fn place_parked(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        for opening in self.parked.take_all() {
+            let Some(service) = self.service_at(opening.key) else {
+                self.reset(opening.key, 0, note::ResetReason::NoService, actions);
+                continue;
+            };
+            if let Some(owner) = self.owners.touch(opening.key) {
+                owner.tried.clear();
+                owner.queued.clear();
+            }
+            self.place(opening.key, service, &opening.bytes, now, actions);
+        }
+    }
+
+    pub(super) fn take_returned(
+        &mut self,
+        from: net::SocketAddrV4,
+        returned: &message::ReturnMessage,
+        head: &segment::SegmentHead,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let key = head.key_from_caller();
+        actions.push(stream::StreamAction::Note(note::StreamNote::returned(
+            key,
+            from,
+            returned.reason,
+        )));
+        self.board.hear_load(from, returned.load, now);
+        match returned.reason {
+            message::ReturnReason::NotServing => {
+                self.board.note_refusal(from, host::HostPhase::Draining);
+            }
+            message::ReturnReason::Silent => {
+                self.board.note_refusal(from, host::HostPhase::Unknown);
+            }
+            _ => {}
+        }
+        if returned.generation > self.state.generation() {
+            actions.push(stream::StreamAction::FetchConfig(from));
+        }
+        let service = self.service_at(key);
+        match service {
+            Some(service) if head.is_opening() => {
+                let is_held = self.owners.touch(key).is_some_and(|o| !o.holders.is_empty());
+                if !is_held {
+                    self.place(key, service, &returned.segment, now, actions);
+                }
+            }
+            None if head.is_opening() => {
+                self.reset(key, 0, note::ResetReason::NoService, actions);
+            }
+            _ => {
+                let segment = segment::StreamSegment { head: *head, bytes: &returned.segment };
+                self.try_next(key, from, &segment, now, actions);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -0,0 +1,194 @@
+//! Segments of open streams: to the agent that holds the stream, or the search for it.
+
+use std::net;
+
+use crate::ids;
+use crate::stream;
+use crate::stream::balancer;
+use crate::stream::lookup;
+use crate::stream::message;
+use crate::stream::note;
+use crate::stream::owners;
+use crate::stream::segment;
+
+impl balancer::StreamBalancer {
+    pub(super) fn take_segment(
+        &mut self,
+        segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let key = segment.head.key_from_caller();
+        let service = self.service_at(key);
+        if segment.head.is_opening() {
+            match service {
+                Some(service) => self.open(key, service, segment, now, actions),
+                // Without any configuration it is not known that there is no such service.
+                None if self.state.generation() == ids::ConfigGeneration(0) => {}
+                None => self.reset(key, 0, note::ResetReason::NoService, actions),
+            }
+            return;
+        }
+        let target = self.owners.touch(key).and_then(|owner| {
+            owner.is_ended |= segment.head.flags.ends || segment.head.flags.resets;
+            owner.guess_next(now);
+            owner.target(segment.head.acknowledged)
+        });
+        match target {
+            Some(agent) => self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key),
+            None => self.search(key, service, segment, now, actions),
+        }
+    }
+
+    pub(super) fn carry(
+        &self,
+        agent: net::SocketAddrV4,
+        kind: message::CarryKind,
+        bytes: &[u8],
+        actions: &mut Vec<stream::StreamAction>,
+        key: segment::StreamKey,
+    ) {
+        // A stream whose address the configuration no longer names goes on where it is.
+        let known = || self.board.get(agent)?.report.as_ref().map(|report| report.service);
+        let service = self.service_at(key).or_else(known).unwrap_or_default();
+        let carry = message::CarryMessage {
+            kind,
+            service,
+            generation: self.state.generation(),
+            segment: bytes.to_vec(),
+        };
+        let message = message::StreamMessage::Carry(carry);
+        actions.push(stream::StreamAction::Tell(agent, message));
+    }
+
+    pub(super) fn search(
+        &mut self,
+        key: segment::StreamKey,
+        service: Option<ids::ServiceId>,
+        segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let holders = self.board.holders(service);
+        let asked = holders.len();
+        if self.searches.wait(key, service, asked, segment, now) != lookup::WaitOutcome::Began {
+            return;
+        }
+        actions.push(stream::StreamAction::Note(note::StreamNote::Searched { stream: key, asked }));
+        for agent in holders {
+            let caller_expects = segment.head.acknowledged;
+            let find = message::StreamMessage::Find { key, caller_expects };
+            actions.push(stream::StreamAction::Tell(agent, find));
+        }
+    }
+
+    /// Sends a segment on that one agent's backend server turned out not to hold.
+    pub(super) fn try_next(
+        &mut self,
+        key: segment::StreamKey,
+        from: net::SocketAddrV4,
+        segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let Some(owner) = self.owners.touch(key) else { return };
+        owner.drop_holder(from);
+        if owner.holders.is_empty()
+            && let Some(agent) = owner.candidates.pop()
+        {
+            owner.holders.push((agent, None));
+        }
+        let target = owner.holders.first().map(|(agent, _)| *agent);
+        let (is_ended, search) = (owner.is_ended, owner.search);
+        match target {
+            Some(agent) => {
+                self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key);
+            }
+            // The last segments of a stream that its caller has ended matter to nobody.
+            None if is_ended => self.owners.remove(key),
+            None if search == owners::SearchState::Complete => {
+                let expected = segment.head.acknowledged;
+                self.reset(key, expected, note::ResetReason::HeldNowhere, actions);
+            }
+            // Searching again at once would carry the segment round the hosts until all answer;
+            // its caller repeats it, and later each time.
+            None if search == owners::SearchState::Incomplete => self.owners.remove(key),
+            None => {
+                self.owners.remove(key);
+                let service = self.service_at(key);
+                self.search(key, service, segment, now, actions);
+            }
+        }
+    }
+
+    pub(super) fn take_held(
+        &mut self,
+        from: net::SocketAddrV4,
+        key: segment::StreamKey,
+        first_sequence: Option<u32>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        match self.owners.touch(key) {
+            Some(owner) => {
+                owner.hold(from, first_sequence);
+            }
+            None => {
+                let holders = vec![(from, first_sequence)];
+                self.owners
+                    .put(key, owners::StreamOwner { holders, ..owners::StreamOwner::new(now) });
+            }
+        }
+        if let Some(search) = self.searches.end(key) {
+            actions.push(stream::StreamAction::Note(note::StreamNote::Found {
+                stream: key,
+                agent: from,
+            }));
+            for segment in &search.waiting {
+                self.carry(from, message::CarryKind::Held, segment, actions, key);
+            }
+        }
+    }
+
+    /// Ends a search in which no agent said that it holds the stream.
+    ///
+    /// Where every process that is announced has answered so, the stream is open nowhere: its
+    /// backend server has died. Its caller is told, and tries again within its aim; without it, it
+    /// would send into nothing until its deadline. Whoever holds a stream is announced: each
+    /// process announces itself before it reads who else is, so of two one sees the other.
+    pub(super) fn conclude(
+        &mut self,
+        key: segment::StreamKey,
+        search: lookup::OwnerSearch,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let is_complete = self.knows_members && search.is_answered() && search.asked > 0;
+        let mut unsure = search.unsure;
+        let Some(agent) = unsure.pop() else {
+            if is_complete {
+                let expected = search.caller_expects;
+                return self.reset(key, expected, note::ResetReason::HeldNowhere, actions);
+            }
+            actions.push(stream::StreamAction::Note(note::StreamNote::NotFound {
+                stream: key,
+                asked: search.asked,
+                denied: search.denied,
+            }));
+            return;
+        };
+        // Agents that started later than their backend servers find out by handing the segment on.
+        let owner = owners::StreamOwner {
+            candidates: unsure,
+            search: match is_complete {
+                true => owners::SearchState::Complete,
+                false => owners::SearchState::Incomplete,
+            },
+            ..owners::StreamOwner::held_by(agent, now)
+        };
+        self.owners.put(key, owner);
+        for segment in &search.waiting {
+            self.carry(agent, message::CarryKind::Probe, segment, actions, key);
+        }
+    }
+}
