--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -65,11 +65,13 @@
 stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > EXPECT_MS => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-late-report-taken	crates/core/src/stream/host.rs	s/_ if self\.ended\.contains\(&report\.run\) => ReportOutcome::Stale,//	-p rosemaryusher-core --test stream_moves late_reports
 stream-stale-openings	crates/core/src/stream/pause.rs	s/const PAUSE_MS: u64 = 500/const PAUSE_MS: u64 = u64::MAX/	-p rosemaryusher-core --test stream_moves frozen
-marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !BOUNCED;//	-p rosemaryusher-platform --test head_codec marks_removed
+marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !\w+;//	-p rosemaryusher-platform --test head_codec marks_removed
 lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
 TABLE
 }
 
+# Files that the tree no longer has must not be left in the copy.
+rm -rf "$copy"
 mkdir -p "$copy"
 survivors=0
 while IFS=$'\t' read -r name file change test; do
