--- a/crates/core/src/stream/balancer/openings.rs
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -66,7 +66,9 @@
             self.owners.put(key, owners::StreamOwner::new(now));
         }
         let Some(owner) = self.owners.touch(key) else { return };
-        let tried = owner.tried.len() + owner.queued.len();
+        // An agent may have had it twice: for a free slot, and to queue.
+        let passed = owner.queued.iter().filter(|agent| !owner.tried.contains(agent));
+        let tried = owner.tried.len() + passed.count();
         let free = self.board.choose(service, &owner.tried, now, &mut self.random);
         let (kind, choice) = match free {
             Some(choice) if choice.has_room => (message::CarryKind::Open, choice),
--- a/crates/node/src/stream/journal.rs
+++ b/crates/node/src/stream/journal.rs
@@ -1,8 +1,11 @@
 //! Log lines and metrics of decisions, bounded.
 
+use std::net;
+
 use rosemaryusher_core::ids;
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::note;
+use serde::Serialize;
 
 use crate::logs;
 
@@ -18,6 +21,18 @@
 /// How often it is said how many lines were left out, in milliseconds.
 const LEFT_OUT_MS: u64 = 1_000;
 
+/// A datagram that led to nothing.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename = "malformed")]
+pub(crate) struct MalformedDatagram {
+    /// Who sent it.
+    pub(crate) from: net::SocketAddr,
+    /// Its length in bytes.
+    pub(crate) length: usize,
+    /// What is wrong with it.
+    pub(crate) problem: String,
+}
+
 /// Writes notes as log lines and counts them.
 #[derive(Debug)]
 pub(crate) struct StreamJournal {
@@ -49,6 +64,14 @@
         logs::event(note);
     }
 
+    /// Writes that a datagram is not what it should be, or counts the line as left out.
+    pub(crate) fn write_malformed(&mut self, datagram: MalformedDatagram, now: ids::UnixMillis) {
+        match self.take_line(now) {
+            true => logs::event(&datagram),
+            false => self.left_out += 1,
+        }
+    }
+
     fn take_line(&mut self, now: ids::UnixMillis) -> bool {
         let most = LINE_BURST * 1_000 / LINES_PER_S;
         self.credit_ms = (self.credit_ms + now.since(self.refilled)).min(most);
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -136,8 +136,8 @@
         actions: &mut Vec<stream::StreamAction>,
     ) -> bool {
         for _ in 0..BATCH {
-            let length = match self.segments.get_ref().recv_from(buffer) {
-                Ok((length, _)) => length,
+            let (length, from) = match self.segments.get_ref().recv_from(buffer) {
+                Ok(received) => received,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
                 // An error of one datagram says nothing of the next.
                 Err(_) => {
@@ -149,7 +149,7 @@
             let bytes = &buffer[..length];
             let Some(head) = self.codec.decode(bytes) else {
                 meters::count_drop("malformed_segment");
-                log::debug!("a datagram of {length} bytes is no segment");
+                self.note_malformed(from, length, "no segment", now);
                 continue;
             };
             let segment = segment::StreamSegment { head, bytes };
@@ -188,7 +188,7 @@
                 Ok(message) => message,
                 Err(error) => {
                     meters::count_drop("damaged_packet");
-                    log::debug!("from {from}: {error}");
+                    self.note_malformed(from.into(), length, error, now);
                     continue;
                 }
             };
@@ -204,6 +204,18 @@
         false
     }
 
+    fn note_malformed(
+        &mut self,
+        from: net::SocketAddr,
+        length: usize,
+        problem: impl ToString,
+        now: ids::UnixMillis,
+    ) {
+        let problem = problem.to_string();
+        let datagram = journal::MalformedDatagram { from, length, problem };
+        self.journal.write_malformed(datagram, now);
+    }
+
     fn take_input(
         &mut self,
         input: StreamInput,
