Check the configuration's time bound and every byte in the fuzz test of streams

Cause: the oracle of stream_fuzz saw no configuration's time bound, and its segments were numbers, so a changed or foreign segment could pass.

Now each segment names who wrote it, sealed; a backend server takes only what a caller wrote, a caller only what a backend server wrote for it. Openings and refusals are held to the configurations that may still be in force, for processes undisturbed for 4 s; one balancer is refused by the platform and lives on reports. Processes freeze and wake as a step.

--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -31,12 +31,14 @@
     LosePower,
     Cut { process: u8 },
     Heal,
+    Freeze { process: u8 },
+    Thaw,
     Configure { routes: u16, to: u8 },
     Wait { millis: u64 },
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let (caller, entry, nth) = (0..12_u16, 0..2_u16, 1..=3_u8);
+    let (caller, entry, nth) = (0..12_u16, 0..3_u16, 1..=3_u8);
     prop_oneof![
         8 => (caller.clone(), entry.clone(), 0..3_u32)
             .prop_map(|(caller, entry, copy)| Step::Open { caller, entry, copy }),
@@ -54,8 +56,11 @@
         1 => Just(Step::LosePower),
         1 => (0..5_u8).prop_map(|process| Step::Cut { process }),
         1 => Just(Step::Heal),
+        1 => (0..5_u8).prop_map(|process| Step::Freeze { process }),
+        1 => Just(Step::Thaw),
         1 => (1..=3_u16, 0..5_u8).prop_map(|(routes, to)| Step::Configure { routes, to }),
-        8 => prop_oneof![1..30_u64, 200..900_u64].prop_map(|millis| Step::Wait { millis }),
+        8 => prop_oneof![4 => 1..30_u64, 4 => 200..900_u64, 1 => 3_000..5_000_u64]
+            .prop_map(|millis| Step::Wait { millis }),
     ]
 }
 
@@ -105,7 +110,9 @@
             }
             Step::LosePower => lose_power(world),
             Step::Cut { process } => drop(world.cut.insert(process_address(process))),
-            Step::Heal => world.cut.clear(),
+            Step::Heal => world.heal(),
+            Step::Freeze { process } => world.freeze(process_address(process)),
+            Step::Thaw => world.thaw(),
             Step::Configure { routes, to } => {
                 self.generation += 1;
                 let entries: Vec<u16> = (0..routes).collect();
@@ -120,7 +127,8 @@
     /// Once nothing happens any more, every stream that is held answers and nothing is busy.
     fn settle(&mut self) {
         let world = &mut self.world;
-        world.cut.clear();
+        world.heal();
+        world.thaw();
         for nth in 1..=3 {
             world.host(nth).is_dark = false;
         }
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -4,7 +4,6 @@
 // Each test file compiles this module for itself and uses a part of it.
 #![allow(dead_code)]
 
-use std::cell;
 use std::collections;
 use std::net;
 use std::sync;
@@ -29,6 +28,19 @@
 /// The port that every process takes messages at.
 const PORT: u16 = 7_000;
 
+/// How long a process must have been undisturbed before a time bound holds for it, in milliseconds.
+const CONTACT_MS: u64 = 4_000;
+
+/// How long a configuration may take to be in force, in milliseconds.
+const IN_FORCE_MS: u64 = 3_000;
+
+/// How often the balancer that reaches the platform looks for a newer configuration, in
+/// milliseconds.
+const WATCH_MS: u64 = 100;
+
+/// How long the contents of a segment are here, in bytes.
+const SEGMENT_BYTES: usize = 16;
+
 /// How often a fake backend server reports, in milliseconds.
 pub(crate) const HOST_REPORT_MS: u64 = 400;
 
@@ -107,9 +119,17 @@
 enum Envelope {
     Message { from: net::SocketAddrV4, to: net::SocketAddrV4, message: message::StreamMessage },
     ToHost { agent: net::SocketAddrV4, marks: segment::SegmentMarks, bytes: Vec<u8> },
-    FromHost { agent: net::SocketAddrV4, head: segment::SegmentHead },
-    ToCaller { head: segment::SegmentHead },
-    FromCaller { balancer: net::SocketAddrV4, head: segment::SegmentHead },
+    FromHost { agent: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
+    ToCaller { caller: net::Ipv4Addr, bytes: Vec<u8> },
+    FromCaller { balancer: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
+}
+
+/// A segment as one end wrote it.
+#[derive(Clone, Copy, Debug)]
+struct WrittenSegment {
+    head: segment::SegmentHead,
+    is_of_caller: bool,
+    written: ids::UnixMillis,
 }
 
 impl Envelope {
@@ -139,13 +159,17 @@
     /// The balancer that the network sends callers' segments to.
     pub(crate) entry_balancer: net::SocketAddrV4,
     pub(crate) newest: config::ConfigDelta,
+    /// Every configuration, the oldest first, with when it was accepted.
+    accepted: Vec<(ids::UnixMillis, config::ConfigDelta)>,
+    /// When each process was last started, cut off or frozen, or came back.
+    disturbed: collections::BTreeMap<net::SocketAddrV4, ids::UnixMillis>,
     /// Every service that any configuration has named for an entry.
     allowed: collections::BTreeSet<(net::SocketAddrV4, String)>,
     announced: collections::BTreeSet<(net::SocketAddrV4, Option<ids::ServiceId>)>,
     queue: collections::BTreeMap<(ids::UnixMillis, u64), Envelope>,
     sent: u64,
     runs: u64,
-    heads: cell::RefCell<Vec<segment::SegmentHead>>,
+    written: Vec<WrittenSegment>,
 }
 
 impl StreamWorld {
@@ -162,12 +186,14 @@
             waiting: Vec::new(),
             entry_balancer: balancer_address(1),
             newest: config::ConfigDelta::default(),
+            accepted: Vec::new(),
+            disturbed: collections::BTreeMap::new(),
             allowed: collections::BTreeSet::new(),
             announced: collections::BTreeSet::new(),
             queue: collections::BTreeMap::new(),
             sent: 0,
             runs: 0,
-            heads: cell::RefCell::new(Vec::new()),
+            written: Vec::new(),
         }
     }
 
@@ -197,6 +223,7 @@
                 self.allowed.insert((*entry, spec.name.clone()));
             }
         }
+        self.accepted.push((self.now, delta.clone()));
         self.newest = delta;
     }
 
@@ -226,6 +253,7 @@
 
     pub(crate) fn start_balancer(&mut self, nth: u8) {
         let address = balancer_address(nth);
+        self.note_disturbed(address);
         let config = self.stream_config(address, "");
         self.balancers.insert(address, balancer::StreamBalancer::new(config, self.now));
         self.announced.insert((address, None));
@@ -236,6 +264,7 @@
     /// Starts an agent, or starts it anew beside the same backend server.
     pub(crate) fn start_agent(&mut self, nth: u8, service: &str) {
         let address = agent_address(nth);
+        self.note_disturbed(address);
         let config = self.stream_config(address, service);
         self.agents.insert(address, agent::StreamAgent::new(config, self.now));
         self.announced.insert((address, Some(config.service)));
@@ -330,7 +359,8 @@
             marks: segment::SegmentMarks::default(),
         };
         let balancer = self.entry_balancer;
-        self.post(DELAY_MS, Envelope::FromCaller { balancer, head });
+        let bytes = self.write(head, true);
+        self.post(DELAY_MS, Envelope::FromCaller { balancer, head, bytes });
     }
 
     /// Lets time pass.
@@ -340,6 +370,7 @@
             self.now = self.now.plus(1);
             self.deliver_due();
             self.run_hosts();
+            self.watch_platform();
             if self.now.0.is_multiple_of(20) {
                 let all: Vec<_> =
                     self.balancers.keys().chain(self.agents.keys()).copied().collect();
@@ -352,9 +383,16 @@
         }
     }
 
+    /// Has a process stand still.
+    pub(crate) fn freeze(&mut self, process: net::SocketAddrV4) {
+        self.frozen.insert(process);
+    }
+
     /// Lets processes that stand still go on with what waits for them.
     pub(crate) fn thaw(&mut self) {
-        self.frozen.clear();
+        for process in std::mem::take(&mut self.frozen) {
+            self.note_disturbed(process);
+        }
         for envelope in std::mem::take(&mut self.waiting) {
             self.post(0, envelope);
         }
@@ -375,9 +413,13 @@
                 Envelope::ToHost { agent, marks, bytes } => {
                     self.deliver_to_host(agent, marks, &bytes)
                 }
-                Envelope::FromHost { agent, head } => self.deliver_segment(agent, head),
-                Envelope::FromCaller { balancer, head } => self.deliver_segment(balancer, head),
-                Envelope::ToCaller { head } => self.deliver_to_caller(&head),
+                Envelope::FromHost { agent, head, bytes } => {
+                    self.deliver_segment(agent, head, &bytes);
+                }
+                Envelope::FromCaller { balancer, head, bytes } => {
+                    self.deliver_segment(balancer, head, &bytes);
+                }
+                Envelope::ToCaller { caller, bytes } => self.deliver_to_caller(caller, &bytes),
             }
         }
     }
@@ -392,16 +434,15 @@
             return;
         }
         let head = match message {
-            message::StreamMessage::Carry(carry) => Some(self.decode(&carry.segment)),
-            message::StreamMessage::Return(returned) => Some(self.decode(&returned.segment)),
+            message::StreamMessage::Carry(carry) => Some(self.read(&carry.segment).head),
+            message::StreamMessage::Return(returned) => Some(self.read(&returned.segment).head),
             _ => None,
         };
         self.handle(to, stream::StreamEvent::Message { from, message, head });
     }
 
-    fn deliver_segment(&mut self, to: net::SocketAddrV4, head: segment::SegmentHead) {
-        let bytes = self.encode(head);
-        let segment = segment::StreamSegment { head, bytes: &bytes };
+    fn deliver_segment(&mut self, to: net::SocketAddrV4, head: segment::SegmentHead, bytes: &[u8]) {
+        let segment = segment::StreamSegment { head, bytes };
         self.handle(to, stream::StreamEvent::Segment(segment));
     }
 
@@ -412,10 +453,14 @@
         marks: segment::SegmentMarks,
         bytes: &[u8],
     ) {
-        let mut head = self.decode(bytes);
-        assert!(!head.flags.given_back, "a segment with a foreign mark reaches a backend server");
+        let written = self.read(bytes);
+        let mut head = written.head;
+        assert!(written.is_of_caller, "a backend server is handed what no caller wrote: {head:?}");
         head.marks = marks;
         let key = head.key_from_caller();
+        if head.is_opening() {
+            self.check_in_force(agent, &written, marks);
+        }
         let Some(host) = self.hosts.get_mut(&agent).filter(|host| !host.is_dark) else { return };
         if head.is_opening() {
             let route = (key.entry, host.service.clone());
@@ -440,7 +485,8 @@
         }
         if !host.held.contains_key(&key) {
             head.flags.given_back = true;
-            self.post(0, Envelope::FromHost { agent, head });
+            let bytes = bytes.to_vec();
+            self.post(0, Envelope::FromHost { agent, head, bytes });
             return;
         }
         if head.length > 0 {
@@ -475,7 +521,19 @@
             length,
             marks: segment::SegmentMarks::default(),
         };
-        self.post(0, Envelope::FromHost { agent, head });
+        let bytes = self.write(head, false);
+        self.post(0, Envelope::FromHost { agent, head, bytes });
+    }
+
+    /// The balancer that reaches the platform follows the operators' configuration.
+    ///
+    /// The platform refuses the other one, which hears of changes by reports alone.
+    fn watch_platform(&mut self) {
+        let watcher = balancer_address(1);
+        let is_due = self.now.0.is_multiple_of(WATCH_MS);
+        if is_due && !self.frozen.contains(&watcher) && !self.cut.contains(&watcher) {
+            self.deliver_config(watcher);
+        }
     }
 
     fn run_hosts(&mut self) {
@@ -525,8 +583,13 @@
         self.handle(agent, stream::StreamEvent::HostReport(report));
     }
 
-    fn deliver_to_caller(&mut self, head: &segment::SegmentHead) {
+    /// The oracle of what a caller gets, and the caller.
+    fn deliver_to_caller(&mut self, caller: net::Ipv4Addr, bytes: &[u8]) {
+        let written = self.read(bytes);
+        let head = written.head;
         let key = head.key_from_host();
+        assert!(!written.is_of_caller, "a caller gets what no backend server wrote: {head:?}");
+        assert_eq!(*key.caller.ip(), caller, "an answer goes to another caller");
         let view = self.callers.entry(key).or_default();
         match head.flags {
             flags if flags.opens && view.first.is_none() => view.first = Some(head.sequence),
@@ -556,9 +619,8 @@
             stream::StreamAction::HandOver(marks, bytes) => {
                 self.post(0, Envelope::ToHost { agent: address, marks, bytes });
             }
-            stream::StreamAction::Answer(_, bytes) => {
-                let head = self.decode(&bytes);
-                self.post(DELAY_MS, Envelope::ToCaller { head });
+            stream::StreamAction::Answer(caller, bytes) => {
+                self.post(DELAY_MS, Envelope::ToCaller { caller, bytes });
             }
             stream::StreamAction::Reset(key, sequence) => {
                 let open = self.callers.get(&key).and_then(|view| view.first);
@@ -576,7 +638,17 @@
             }
             stream::StreamAction::FetchConfig(_) => self.deliver_config(address),
             stream::StreamAction::Measure(_) => {}
-            stream::StreamAction::Note(note) => self.notes.push(note),
+            stream::StreamAction::Note(note) => {
+                if let note::StreamNote::Reset {
+                    stream,
+                    reason: note::ResetReason::NoService,
+                    ..
+                } = note
+                {
+                    self.check_unrouted(address, stream);
+                }
+                self.notes.push(note);
+            }
         }
     }
 
@@ -601,20 +673,93 @@
         self.queue.insert((self.now.plus(delay_ms), self.sent), envelope);
     }
 
-    fn encode(&self, head: segment::SegmentHead) -> Vec<u8> {
-        let mut heads = self.heads.borrow_mut();
-        heads.push(segment::SegmentHead {
-            flags: segment::SegmentFlags { given_back: false, ..head.flags },
-            marks: segment::SegmentMarks::default(),
-            ..head
-        });
-        ((heads.len() - 1) as u32).to_le_bytes().to_vec()
+    /// Writes down a segment for the oracle; its bytes name it, and no others do.
+    fn write(&mut self, head: segment::SegmentHead, is_of_caller: bool) -> Vec<u8> {
+        let index = self.written.len() as u64;
+        self.written.push(WrittenSegment { head, is_of_caller, written: self.now });
+        [index.to_le_bytes(), seal(index).to_le_bytes()].concat()
     }
 
-    fn decode(&self, bytes: &[u8]) -> segment::SegmentHead {
-        let index = u32::from_le_bytes(bytes.try_into().expect("bytes of this world"));
-        self.heads.borrow()[index as usize]
+    /// What was written with these bytes; fails on bytes that nobody wrote.
+    fn read(&self, bytes: &[u8]) -> WrittenSegment {
+        let bytes: [u8; SEGMENT_BYTES] = bytes.try_into().expect("bytes that somebody wrote");
+        let (index, sealed) = bytes.split_at(SEGMENT_BYTES / 2);
+        let word = |half: &[u8]| u64::from_le_bytes(half.try_into().expect("half of the bytes"));
+        assert_eq!(word(sealed), seal(word(index)), "the bytes of a segment were changed");
+        self.written[word(index) as usize]
     }
+
+    fn note_disturbed(&mut self, process: net::SocketAddrV4) {
+        self.disturbed.insert(process, self.now);
+    }
+
+    /// Ends every cut.
+    pub(crate) fn heal(&mut self) {
+        for process in std::mem::take(&mut self.cut) {
+            self.note_disturbed(process);
+        }
+    }
+}
+
+/// Oracles of the configuration's time bound.
+impl StreamWorld {
+    /// An opening that was sent long after a configuration was accepted is taken as that one or a
+    /// newer one allows.
+    fn check_in_force(
+        &self,
+        agent: net::SocketAddrV4,
+        opening: &WrittenSegment,
+        marks: segment::SegmentMarks,
+    ) {
+        let balancer = net::SocketAddrV4::new(marks.origin, PORT);
+        let is_bound = self.is_in_touch(balancer) && self.is_in_touch(agent);
+        let entry = net::SocketAddr::V4(opening.head.destination);
+        let service = &self.hosts[&agent].service;
+        let names_it = |delta: &config::ConfigDelta| {
+            delta
+                .changed
+                .iter()
+                .any(|(_, spec)| spec.name == *service && spec.streams.contains(&entry))
+        };
+        let mut in_force = self.in_force(opening.written);
+        assert!(!is_bound || in_force.any(names_it), "{entry} opens by an old configuration");
+    }
+
+    /// A caller is told that there is no such service only if some configuration that may still be
+    /// in force names none.
+    fn check_unrouted(&self, balancer: net::SocketAddrV4, key: segment::StreamKey) {
+        let entry = net::SocketAddr::V4(key.entry);
+        let names_it = |delta: &config::ConfigDelta| {
+            delta.changed.iter().any(|(_, spec)| spec.streams.contains(&entry))
+        };
+        let is_bound = self.is_in_touch(balancer);
+        // A round trip ago an older one was in force.
+        let sent = ids::UnixMillis(self.now.0 - 4 * DELAY_MS);
+        let is_named = self.in_force(sent).all(names_it);
+        assert!(!is_bound || !is_named, "{key} is refused by an old configuration");
+    }
+
+    /// Configurations by which something that was sent then may be handled.
+    fn in_force(&self, sent: ids::UnixMillis) -> impl Iterator<Item = &config::ConfigDelta> {
+        let is_old = |(accepted, _): &(ids::UnixMillis, _)| sent.since(*accepted) > IN_FORCE_MS;
+        let old = self.accepted.iter().take_while(|entry| is_old(entry)).count();
+        self.accepted[old.saturating_sub(1)..].iter().map(|(_, delta)| delta)
+    }
+
+    /// Whether a process has been undisturbed for long enough to know of a change, and so has the
+    /// only one that the platform answers.
+    fn is_in_touch(&self, process: net::SocketAddrV4) -> bool {
+        [process, balancer_address(1)].iter().all(|one| {
+            let disturbed = self.disturbed.get(one).copied().unwrap_or_default();
+            let is_calm = self.now.since(disturbed) > CONTACT_MS;
+            is_calm && !self.cut.contains(one) && !self.frozen.contains(one)
+        })
+    }
+}
+
+/// A word that goes with a segment's number, and with no other.
+fn seal(index: u64) -> u64 {
+    ids::mix_words(index, 0x5eed)
 }
 
 impl StreamWorld {
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -65,6 +65,9 @@
 stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > EXPECT_MS => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-late-report-taken	crates/core/src/stream/host.rs	s/_ if self\.ended\.contains\(&report\.run\) => ReportOutcome::Stale,//	-p rosemaryusher-core --test stream_moves late_reports
 stream-stale-openings	crates/core/src/stream/pause.rs	s/const PAUSE_MS: u64 = 500/const PAUSE_MS: u64 = u64::MAX/	-p rosemaryusher-core --test stream_moves frozen
+stream-news-ignored	crates/core/src/stream/balancer/neighbours.rs	s/if report\.generation > self\.state\.generation\(\) \{/if false {/g	-p rosemaryusher-core --test stream_fuzz
+stream-bytes-changed	crates/core/src/stream/agent/admission.rs	s/self\.held\.hear_caller\(key, (.*?)HandOver\(marks, segment\.bytes\.to_vec\(\)\)/self.held.hear_caller(key, $1HandOver(marks, segment.bytes.iter().map(|b| b ^ 1).collect())/s	-p rosemaryusher-core --test stream_fuzz
+stream-answer-astray	crates/core/src/stream/agent/hosting.rs	s/Answer\(\*key\.caller\.ip\(\)/Answer(*key.entry.ip()/	-p rosemaryusher-core --test stream_fuzz
 marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !\w+;//	-p rosemaryusher-platform --test head_codec marks_removed
 lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
 TABLE
