--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -53,7 +53,10 @@
 
 /// The state of the thread.
 pub(crate) struct StreamHub {
+    /// Where other processes reach this one.
     pub(crate) own: net::SocketAddrV4,
+    /// Where it listens for them.
+    pub(crate) listen_address: net::SocketAddrV4,
     pub(crate) settings: cell::RefCell<settings::NodeSettings>,
     pub(crate) file: path::PathBuf,
     pub(crate) settings_text: cell::RefCell<String>,
@@ -78,8 +81,7 @@
 ) -> eyre::Result<()> {
     let executor = hub.executor.clone();
     let streams = hub.streams();
-    let own = net::SocketAddr::V4(hub.own);
-    let mut addresses = vec![own, streams.ready_address];
+    let mut addresses = vec![net::SocketAddr::V4(hub.listen_address), streams.ready_address];
     addresses.extend(streams.report_address);
     for address in addresses {
         let listener = http::listen(address).await?;
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -74,6 +74,7 @@
     let net::SocketAddr::V4(own) = parts.settings.packet_address else {
         eyre::bail!("node.packet_address: must be an IPv4 address");
     };
+    let listen_address = streams.listen_address.unwrap_or(own);
     let service = parts.service.as_deref().map(ids::ServiceId::of_name);
     let config = stream::StreamConfig {
         instance,
@@ -98,7 +99,7 @@
         codec: parts.adapter.codec,
         clock,
         segments: bind(streams.segment_address)?,
-        messages: bind(own)?,
+        messages: bind(listen_address)?,
         backend: streams.backend_address,
         caller_port: streams.network_address.port(),
         inputs: input_ends,
@@ -123,6 +124,7 @@
     };
     let hub = rc::Rc::new(control::StreamHub {
         own,
+        listen_address,
         link: cell::RefCell::new((parts.adapter.open_platform)(platform, timeout)),
         open_platform: parts.adapter.open_platform,
         settings: cell::RefCell::new(parts.settings),
--- a/crates/node/src/stream/settings.rs
+++ b/crates/node/src/stream/settings.rs
@@ -8,6 +8,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StreamSettings {
+    /// Where this process listens for other processes, if they reach it by an address that is
+    /// translated on the way; else at `node.packet_address`.
+    #[serde(default)]
+    pub listen_address: Option<net::SocketAddrV4>,
     /// Where segments arrive: callers' at a balancer, the backend server's at an agent.
     pub segment_address: net::SocketAddrV4,
     /// Where the network sends datagrams to this machine. Callers take theirs at the same port.
@@ -49,6 +53,10 @@
         );
         need(self.stream_limit_s > 0, "stream_limit_s: is zero; give at least 1");
         need(self.grace_s >= 2, "grace_s: is too short; give at least 2");
+        need(
+            self.listen_address.is_none_or(|address| address.port() != 0),
+            "listen_address: has port 0; give the port",
+        );
         need(
             self.backend_address.is_some() == self.report_address.is_some(),
             "backend_address: goes with report_address; give both or neither",
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -61,6 +61,11 @@
         self.signal(rustix::process::Signal::TERM);
     }
 
+    /// Tells the process to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(rustix::process::Signal::HUP);
+    }
+
     /// Freezes the process.
     pub fn pause(&mut self) {
         self.signal(rustix::process::Signal::STOP);
@@ -73,15 +78,19 @@
         self.paused = false;
     }
 
+    /// Whether the process has ended, and if so whether it ended well.
+    pub fn has_ended(&mut self) -> Option<bool> {
+        self.child.try_wait().ok().flatten().map(|status| status.success())
+    }
+
     /// Waits until the process has ended; says whether it ended well.
     ///
     /// # Errors
     ///
     /// Fails if it does not end.
     pub fn wait(&mut self) -> eyre::Result<bool> {
-        let child = &mut self.child;
-        let status = wait_for(&self.name, || child.try_wait().ok().flatten())?;
-        Ok(status.success())
+        let name = self.name.clone();
+        wait_for(&name, || self.has_ended())
     }
 
     fn signal(&self, signal: rustix::process::Signal) {
