Search for a stream at all hosts at once; agents see when their host has gone

Agents that have just started cannot deny a stream, so segments went from host to host, and the search never ended: eight agents had started beside nothing, on machines that were then taken away without a word, and machines lost for good left announcements behind. No caller was told (2,000 searches a second, 1,500 of them without an end, 290 resets).

Change: a segment goes to all hosts that cannot be asked, and comes back from those that do not hold it; it counts as no work meanwhile. An agent in doubt tries its host's port: refused twice, the host has gone, its callers are reset and searches no longer wait for it. An announced agent that was never heard is taken as lost after 2 s, unless this balancer itself was out of contact. What is never reset: a stream at an agent that has been heard.

Found by the fuzz test with hosts that end (failing first): a stream that a search brought to a host which then ended was reset though open elsewhere; an opening placed where the host ended hung at the balancer that placed it.

Ruled out: processor time (the same with none charged).

--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -57,6 +57,12 @@
                 let message = self.returned(reason, segment.bytes);
                 actions.push(stream::StreamAction::Tell(from, message));
             }
+            // Nothing there could give it back, and its balancer would go on sending here while
+            // another backend server holds the stream.
+            false if self.phase(now) == host::HostPhase::Gone => {
+                let message = self.returned(message::ReturnReason::NotHeld, segment.bytes);
+                actions.push(stream::StreamAction::Tell(from, message));
+            }
             // The caller has taken another backend server's answer to a copy of its opening. Handed
             // over, the segment would be lost, and this half would count as work.
             false if self.is_other_half(key, segment.head.acknowledged) => {
@@ -65,7 +71,12 @@
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             false => {
-                self.held.hear_caller(key, &segment.head, from, now);
+                match carry.kind {
+                    message::CarryKind::Probe => {
+                        self.held.note_probe(key, &segment.head, from, now)
+                    }
+                    _ => self.held.hear_caller(key, &segment.head, from, now),
+                }
                 actions.push(stream::StreamAction::HandOver(marks, segment.bytes.to_vec()));
             }
         }
--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -19,6 +19,12 @@
 /// How long a backend server that left openings unanswered gets no more, in milliseconds.
 const SILENCE_MS: u64 = 1_000;
 
+/// How often an agent in doubt sees whether its backend server is there, in milliseconds.
+///
+/// Each look is a connection, which backend servers count; a caller whose stream has died with its
+/// backend server can still be in time if it hears within its aim of 150 to 250 ms.
+const PROBE_MS: u64 = 300;
+
 impl agent::StreamAgent {
     pub(super) fn hear_host(
         &mut self,
@@ -41,6 +47,7 @@
             }
             // Whether an earlier run of the agent handed it streams is not known.
             host::ReportOutcome::Changed => {}
+            host::ReportOutcome::Returned => self.has_seen_all = false,
             host::ReportOutcome::Replaced { alive_at } => {
                 reset = self.reset_opened_until(alive_at, actions);
                 self.has_seen_all = true;
@@ -77,6 +84,54 @@
         self.report(now, actions);
     }
 
+    /// Takes in that nothing listens at the backend server's address.
+    ///
+    /// A crash leaves no word: callers would send into nothing until their deadline, and a balancer
+    /// that looks for a stream would wait for a machine that is then taken away.
+    pub(super) fn host_vanished(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if !self.host.vanish() {
+            return;
+        }
+        // Whatever comes next begins under the eyes of this run of the agent.
+        self.has_seen_all = true;
+        let reset = self.reset_opened_until(now, actions);
+        actions.push(stream::StreamAction::Note(note::StreamNote::HostChanged {
+            run: self.host.run().unwrap_or_default().to_owned(),
+            phase: host::HostPhase::Gone,
+            slots: self.host.slots(),
+            sequence: 0,
+            reset,
+        }));
+        self.report(now, actions);
+    }
+
+    /// Has the process see whether the backend server is there, when it has not reported, is late
+    /// to, or has left an opening unanswered.
+    ///
+    /// An agent may start beside nothing, on a machine that is about to be taken away. Until it
+    /// said so, every search for a stream of the service would have waited for its word.
+    pub(super) fn doubt_host(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let phase = self.host.phase(self.config.host_report_ms, now);
+        let is_silent = match phase {
+            host::HostPhase::Unknown => true,
+            host::HostPhase::Serving | host::HostPhase::Draining => now < self.silent_until,
+            host::HostPhase::Gone => false,
+        };
+        let is_due = now.since(self.probed) >= PROBE_MS;
+        if is_silent && is_due {
+            self.probed = now;
+            actions.push(stream::StreamAction::ProbeHost);
+        }
+    }
+
     /// Resets the streams of a run that is over, so that their callers can try again in time.
     ///
     /// Without it they would send into nothing until their deadline. The run is known to be dead,
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -66,6 +66,8 @@
     /// Whether every stream of the backend server was opened under this run of the agent.
     has_seen_all: bool,
     silent_until: ids::UnixMillis,
+    /// When it was last asked to see whether the backend server is there.
+    probed: ids::UnixMillis,
     reported: ids::UnixMillis,
     report_sequence: u64,
     is_leaving: bool,
@@ -84,6 +86,7 @@
             started: now,
             has_seen_all: false,
             silent_until: ids::UnixMillis(0),
+            probed: ids::UnixMillis(0),
             reported: ids::UnixMillis(0),
             report_sequence: 0,
             is_leaving: false,
@@ -126,6 +129,7 @@
             stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
             stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
+            stream::StreamEvent::HostVanished => self.host_vanished(now, actions),
             stream::StreamEvent::Leave => {
                 self.is_leaving = true;
                 self.report(now, actions);
@@ -170,6 +174,7 @@
 
     fn tick(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         self.give_back_unanswered(now, actions);
+        self.doubt_host(now, actions);
         if now.since(self.reported) < REPORT_MS {
             return;
         }
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -83,6 +83,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         if let Some(still_ms) = self.pause.note(now) {
+            self.board.lose_contact(now);
             actions.push(stream::StreamAction::Note(note::StreamNote::Resumed { still_ms }));
         }
         match event {
@@ -110,7 +111,9 @@
             }
             stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
-            stream::StreamEvent::HostReport(_) | stream::StreamEvent::HostLeft(_) => {}
+            stream::StreamEvent::HostReport(_)
+            | stream::StreamEvent::HostLeft(_)
+            | stream::StreamEvent::HostVanished => {}
             stream::StreamEvent::Leave => {
                 self.is_leaving = true;
                 self.report(now, actions);
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -69,13 +69,14 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let holders = self.board.holders(service);
-        let asked = holders.len();
-        if self.searches.wait(key, service, asked, segment, now) != lookup::WaitOutcome::Began {
+        let holders = self.board.holders(service, now);
+        let asked = holders.agents.len();
+        let outcome = self.searches.wait(key, service, &holders, segment, now);
+        if outcome != lookup::WaitOutcome::Began {
             return;
         }
         actions.push(stream::StreamAction::Note(note::StreamNote::Searched { stream: key, asked }));
-        for agent in holders {
+        for agent in holders.agents {
             let caller_expects = segment.head.acknowledged;
             let find = message::StreamMessage::Find { key, caller_expects };
             actions.push(stream::StreamAction::Tell(agent, find));
@@ -91,6 +92,16 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        match self.searches.give_back(key, from) {
+            lookup::ProbeOutcome::NotProbing => {}
+            lookup::ProbeOutcome::Waits => return,
+            lookup::ProbeOutcome::Next(agent, bytes) => {
+                return self.carry(agent, message::CarryKind::Probe, &bytes, actions, key);
+            }
+            lookup::ProbeOutcome::Over(search) => {
+                return self.end_search(key, search, now, actions);
+            }
+        }
         let Some(owner) = self.owners.touch(key) else { return };
         owner.drop_holder(from);
         if owner.holders.is_empty()
@@ -144,29 +155,54 @@
                 stream: key,
                 agent: from,
             }));
-            for segment in &search.waiting {
+            let handed_over = usize::from(search.probed.contains(&from));
+            for segment in search.waiting.iter().skip(handed_over) {
                 self.carry(from, message::CarryKind::Held, segment, actions, key);
             }
         }
     }
 
-    /// Ends a search in which no agent said that it holds the stream.
+    /// Goes on from a search in which no agent said that it holds the stream.
+    ///
+    /// Agents that started later than their backend servers find out by handing the segment on.
+    pub(super) fn conclude(
+        &mut self,
+        key: segment::StreamKey,
+        mut search: lookup::OwnerSearch,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if search.is_probing() {
+            return self.end_search(key, search, now, actions);
+        }
+        search.is_complete = self.knows_members && search.is_answered() && search.asked > 0;
+        if search.unsure.is_empty() {
+            return self.end_search(key, search, now, actions);
+        }
+        let Some(segment) = search.waiting.first().cloned() else { return };
+        for agent in self.searches.probe(key, search, now) {
+            self.carry(agent, message::CarryKind::Probe, &segment, actions, key);
+        }
+    }
+
+    /// Ends a search, with the agents whose backend servers may still hold the stream.
     ///
     /// Where every process that is announced has answered so, the stream is open nowhere: its
     /// backend server has died. Its caller is told, and tries again within its aim; without it, it
     /// would send into nothing until its deadline. Whoever holds a stream is announced: each
     /// process announces itself before it reads who else is, so of two one sees the other.
-    pub(super) fn conclude(
+    fn end_search(
         &mut self,
         key: segment::StreamKey,
         search: lookup::OwnerSearch,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let is_complete = self.knows_members && search.is_answered() && search.asked > 0;
-        let mut unsure = search.unsure;
-        let Some(agent) = unsure.pop() else {
-            if is_complete {
+        // Those that have not given it back have the first segment.
+        let handed_over = usize::from(search.is_probing());
+        let mut candidates = search.probed;
+        let Some(agent) = candidates.pop() else {
+            if search.is_complete {
                 let expected = search.caller_expects;
                 return self.reset(key, expected, note::ResetReason::HeldNowhere, actions);
             }
@@ -177,17 +213,17 @@
             }));
             return;
         };
-        // Agents that started later than their backend servers find out by handing the segment on.
         let owner = owners::StreamOwner {
-            candidates: unsure,
-            search: match is_complete {
+            candidates,
+            // One that was taken as lost may be back by the time that this one denies.
+            search: match search.is_complete && !search.has_lost {
                 true => owners::SearchState::Complete,
                 false => owners::SearchState::Incomplete,
             },
             ..owners::StreamOwner::held_by(agent, now)
         };
         self.owners.put(key, owner);
-        for segment in &search.waiting {
+        for segment in search.waiting.iter().skip(handed_over) {
             self.carry(agent, message::CarryKind::Probe, segment, actions, key);
         }
     }
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -20,6 +20,14 @@
 /// Its backend server may still hold streams, and it may come back at the same address.
 const KEPT_MS: u64 = 30_000;
 
+/// How long an agent that is announced and has never been heard may hold streams, in milliseconds.
+///
+/// Machines that are lost leave their announcements behind. Waiting for their word, a balancer that
+/// has just started could tell no caller that its stream has died: each waited out its deadline, for
+/// as long as the agent was remembered. A planned restart takes 0.7 s on the users' machines, during
+/// which the backend server goes on; one that is away for three times as long is taken as lost.
+const LOST_MS: u64 = 2_000;
+
 /// How many agents drawn at random are compared.
 ///
 /// Taking the emptiest of all sends every balancer to the same host between two reports; with
@@ -66,17 +74,28 @@
     pub report_age_ms: u64,
 }
 
+/// Agents that may hold a stream.
+#[derive(Clone, Debug, Default)]
+pub struct PossibleHolders {
+    /// Where they take messages.
+    pub agents: Vec<net::SocketAddrV4>,
+    /// Whether some were left out since they are taken as lost.
+    pub has_lost: bool,
+}
+
 /// Every agent that one balancer knows.
 #[derive(Debug, Default)]
 pub struct AgentBoard {
     agents: collections::BTreeMap<net::SocketAddrV4, KnownAgent>,
     data_centre: u32,
+    /// Since when this balancer has heard most agents without a break.
+    in_contact: ids::UnixMillis,
 }
 
 impl AgentBoard {
     /// A board for a balancer in a data centre.
     pub fn new(data_centre: u32) -> AgentBoard {
-        AgentBoard { agents: collections::BTreeMap::new(), data_centre }
+        AgentBoard { data_centre, ..AgentBoard::default() }
     }
 
     /// Takes in a report; says whether it changes what is believed of the agent.
@@ -142,6 +161,10 @@
     /// Forgets agents unheard for long; gives back those that have just stopped being heard.
     pub fn sweep(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
         self.agents.retain(|_, known| now.since(known.heard) <= KEPT_MS);
+        let heard = self.agents.values().filter(|known| known.is_heard).count();
+        if 2 * heard < self.agents.len() {
+            self.lose_contact(now);
+        }
         let mut silent = Vec::new();
         for (address, known) in &mut self.agents {
             if known.is_heard && now.since(known.heard) > HEARD_MS {
@@ -153,6 +176,16 @@
     }
 }
 
+impl AgentBoard {
+    /// Notes that this balancer itself was away: that it has not heard an agent says nothing.
+    ///
+    /// One that wakes, or is reached again, hears one agent first and would take the others for
+    /// lost, though their reports are on the way: open streams would be reset.
+    pub fn lose_contact(&mut self, now: ids::UnixMillis) {
+        self.in_contact = now;
+    }
+}
+
 impl AgentBoard {
     /// Every agent that may be there.
     pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddrV4> {
@@ -165,14 +198,25 @@
     }
 
     /// Agents that may hold a stream of a service.
-    pub fn holders(&self, service: Option<ids::ServiceId>) -> Vec<net::SocketAddrV4> {
-        let may_hold = |known: &KnownAgent| match (&known.report, service) {
-            (Some(report), Some(service)) => report.service == service,
-            (Some(_), None) => true,
-            // It may be of the service, and hold what nobody else does.
-            (None, _) => true,
-        };
-        self.agents.iter().filter(|(_, k)| may_hold(k)).map(|(address, _)| *address).collect()
+    pub fn holders(
+        &self,
+        service: Option<ids::ServiceId>,
+        now: ids::UnixMillis,
+    ) -> PossibleHolders {
+        let mut holders = PossibleHolders::default();
+        for (address, known) in &self.agents {
+            match &known.report {
+                // Its backend server's run has ended, and every stream with it.
+                Some(report) if report.phase == host::HostPhase::Gone => {}
+                Some(report) if service.is_some_and(|service| report.service != service) => {}
+                None if now.since(known.heard.max(self.in_contact)) > LOST_MS => {
+                    holders.has_lost = true;
+                }
+                // One of which nothing is known may be of the service.
+                _ => holders.agents.push(*address),
+            }
+        }
+        holders
     }
 
     /// What is known of one agent.
--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -5,6 +5,7 @@
 //! rather than what was sent to it, brings the count back to nothing after any storm.
 
 use std::collections;
+use std::collections::hash_map;
 use std::net;
 
 use crate::ids;
@@ -63,6 +64,8 @@
     /// The opening, until it is answered.
     pub opening: Vec<u8>,
     opened: ids::UnixMillis,
+    /// Whether its opening came through this run of the agent.
+    is_opened_here: bool,
     since: ids::UnixMillis,
     touched: ids::UnixMillis,
     /// Whether the backend server has sent anything on it, which proves that it holds the stream.
@@ -115,7 +118,11 @@
             }
             _ => {
                 self.remove(key);
-                let stream = HeldStream { opening: opening.to_vec(), ..stream_at(balancer, now) };
+                let stream = HeldStream {
+                    opening: opening.to_vec(),
+                    is_opened_here: true,
+                    ..stream_at(balancer, now)
+                };
                 self.streams.insert(key, stream);
                 self.busy += 1;
                 self.open += 1;
@@ -150,6 +157,30 @@
         self.busy = change_phase(stream, next, self.busy, now);
     }
 
+    /// Takes in a caller's segment of a stream that the backend server may not hold.
+    ///
+    /// Most of these come back. Counted as work until then, the search for the streams of a dead
+    /// run made every host look full, and openings were refused while slots were free.
+    pub fn note_probe(
+        &mut self,
+        key: segment::StreamKey,
+        head: &segment::SegmentHead,
+        balancer: net::SocketAddrV4,
+        now: ids::UnixMillis,
+    ) {
+        match self.streams.entry(key) {
+            hash_map::Entry::Occupied(_) => self.hear_caller(key, head, balancer, now),
+            hash_map::Entry::Vacant(place) => {
+                place.insert(HeldStream {
+                    phase: WorkPhase::Resting,
+                    caller_expects: head.acknowledged,
+                    ended_by_caller: head.flags.ends,
+                    ..stream_at(balancer, now)
+                });
+            }
+        }
+    }
+
     /// Takes in the backend server's segment.
     pub fn hear_host(
         &mut self,
@@ -207,6 +238,9 @@
 
     /// Forgets streams that were opened until `limit`, and gives back those that were open.
     ///
+    /// One that a balancer's search brought here, and that the backend server has said nothing on,
+    /// may be open at another: a reset of it would cut that.
+    ///
     /// Later ones may be held by a new run of the backend server, which took them before its first
     /// report. Of a half that the caller did not take, no number that the caller expects is known;
     /// a reset of it is one that an open caller ignores.
@@ -218,7 +252,8 @@
         let mut open = Vec::new();
         for (key, stream) in removed {
             self.busy -= u32::from(stream.phase.is_busy());
-            if stream.phase != WorkPhase::Ended {
+            let is_open = stream.phase != WorkPhase::Ended;
+            if is_open && (stream.is_opened_here || stream.spoken) {
                 open.push((key, stream));
             }
         }
@@ -301,6 +336,7 @@
         balancer,
         opening: Vec::new(),
         opened: now,
+        is_opened_here: false,
         since: now,
         touched: now,
         spoken: false,
--- a/crates/core/src/stream/host.rs
+++ b/crates/core/src/stream/host.rs
@@ -48,6 +48,8 @@
     Unchanged,
     /// The backend server's phase or capacity has changed.
     Changed,
+    /// It had been taken for gone, and lives.
+    Returned,
     /// A new run has taken the place of an earlier one, which is dead.
     Replaced {
         /// The earlier one was surely alive then; the new one may have begun at any time since.
@@ -61,6 +63,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostState {
     run: Option<HostRun>,
+    /// Nothing listens where the backend server did, and no report has come since.
+    has_vanished: bool,
     /// Runs that are over: a report of theirs that was held up on the way changes nothing.
     ended: Vec<String>,
 }
@@ -86,8 +90,14 @@
         };
         match &mut self.run {
             _ if self.ended.contains(&report.run) => ReportOutcome::Stale,
-            Some(run) if run.report.run == report.run => run.hear(report, phase, now),
+            Some(run) if run.report.run == report.run => {
+                let outcome = run.hear(report, phase, now);
+                let is_back = outcome != ReportOutcome::Stale && self.has_vanished;
+                self.has_vanished &= !is_back;
+                if is_back { ReportOutcome::Returned } else { outcome }
+            }
             held => {
+                self.has_vanished = false;
                 let earlier = held.replace(HostRun {
                     report: report.clone(),
                     phase,
@@ -116,6 +126,15 @@
         is_current
     }
 
+    /// Notes that nothing listens where the backend server did; says whether that is news.
+    ///
+    /// A report that comes after all shows that it lives: the run is not taken as over for good.
+    pub fn vanish(&mut self) -> bool {
+        let is_news = !self.has_vanished && self.run.as_ref().is_none_or(HostRun::is_up);
+        self.has_vanished |= is_news;
+        is_news
+    }
+
     fn remember_ended(&mut self, run: String) {
         if self.ended.len() >= ENDED_LIMIT {
             self.ended.remove(0);
@@ -125,6 +144,10 @@
 }
 
 impl HostRun {
+    fn is_up(&self) -> bool {
+        self.phase != HostPhase::Gone
+    }
+
     fn hear(
         &mut self,
         report: &HostReport,
@@ -154,6 +177,7 @@
     /// about to be found dead.
     pub fn phase(&self, period_ms: u64, now: ids::UnixMillis) -> HostPhase {
         match &self.run {
+            _ if self.has_vanished => HostPhase::Gone,
             None => HostPhase::Unknown,
             Some(run)
                 if run.phase == HostPhase::Serving
@@ -167,7 +191,7 @@
 
     /// Whether a run has reported and has not left.
     pub fn is_there(&self) -> bool {
-        self.run.as_ref().is_some_and(|run| run.phase != HostPhase::Gone)
+        !self.has_vanished && self.run.as_ref().is_some_and(HostRun::is_up)
     }
 
     /// The run that is up, if any has reported.
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -3,16 +3,34 @@
 //! A caller's segments move to another balancer when one joins, leaves or dies. That one asks the
 //! agents of the service, keeps the caller's segments meanwhile, and has its answer after one
 //! round trip. A service has few hosts: three on average at the largest size.
+//!
+//! Agents that have started later than their backend servers cannot answer. Their backend servers
+//! can: a segment that one does not hold comes back. It is handed to all of these at once; one by
+//! one, a stream that is open nowhere cost its caller as many round trips as there are hosts, and
+//! its deadline where one of them had just been taken away.
 
 use std::collections;
 use std::net;
 
 use crate::ids;
+use crate::stream::board;
 use crate::stream::segment;
 
 /// How long agents may take to answer, in milliseconds: some round trips between data centres.
 const ANSWER_MS: u64 = 40;
 
+/// How long backend servers may take to give a segment back, in milliseconds.
+///
+/// They do so at once; the one that holds the stream keeps it and answers when its work is done. A
+/// caller repeats the segment after 200 ms, and finds the search at its end.
+const PROBE_MS: u64 = 150;
+
+/// How many backend servers have one stream's segment at the same time.
+///
+/// A service of the users' grown sites has 38 hosts. With many more, a balancer that has just
+/// started would flood the agents.
+const PROBE_WIDTH: usize = 64;
+
 /// How many segments of a stream wait for the answer: what a caller has under way.
 const WAITING_SEGMENTS: usize = 16;
 
@@ -31,10 +49,17 @@
     pub began: ids::UnixMillis,
     /// How many agents were asked.
     pub asked: usize,
+    /// Whether others were not asked since they are taken as lost.
+    pub has_lost: bool,
     /// How many do not hold the stream.
     pub denied: usize,
-    /// Agents that do not know, since they started later than their backend servers.
+    /// Agents that do not know, since they started later than their backend servers, and whose
+    /// backend servers have not been tried.
     pub unsure: Vec<net::SocketAddrV4>,
+    /// Agents whose backend servers have the first segment and have not given it back.
+    pub probed: Vec<net::SocketAddrV4>,
+    /// Whether all other agents that may hold the stream have denied it.
+    pub is_complete: bool,
     /// The number that the caller expects next.
     pub caller_expects: u32,
     /// The caller's segments.
@@ -46,6 +71,16 @@
     pub fn is_answered(&self) -> bool {
         self.denied + self.unsure.len() >= self.asked
     }
+
+    /// Whether backend servers have its first segment.
+    pub fn is_probing(&self) -> bool {
+        !self.probed.is_empty()
+    }
+
+    fn is_over(&self, now: ids::UnixMillis) -> bool {
+        let limit_ms = if self.is_probing() { PROBE_MS } else { ANSWER_MS };
+        now.since(self.began) >= limit_ms
+    }
 }
 
 /// What became of a segment of a stream with an unknown owner.
@@ -59,6 +94,19 @@
     NoRoom,
 }
 
+/// What follows from a segment that was given back.
+#[derive(Clone, Debug)]
+pub enum ProbeOutcome {
+    /// No segment of the stream is being handed round.
+    NotProbing,
+    /// Others have it still.
+    Waits,
+    /// This agent is the next to have it.
+    Next(net::SocketAddrV4, Vec<u8>),
+    /// All have given it back.
+    Over(OwnerSearch),
+}
+
 /// The searches of one balancer.
 #[derive(Debug, Default)]
 pub struct OwnerSearches {
@@ -71,7 +119,7 @@
         &mut self,
         key: segment::StreamKey,
         service: Option<ids::ServiceId>,
-        asked: usize,
+        holders: &board::PossibleHolders,
         segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
     ) -> WaitOutcome {
@@ -90,9 +138,12 @@
                 let search = OwnerSearch {
                     service,
                     began: now,
-                    asked,
+                    asked: holders.agents.len(),
+                    has_lost: holders.has_lost,
                     denied,
                     unsure,
+                    probed: Vec::new(),
+                    is_complete: false,
                     caller_expects: segment.head.acknowledged,
                     waiting,
                 };
@@ -109,7 +160,7 @@
         agent: net::SocketAddrV4,
         is_sure: bool,
     ) -> Option<OwnerSearch> {
-        let search = self.searches.get_mut(&key)?;
+        let search = self.searches.get_mut(&key).filter(|search| !search.is_probing())?;
         match is_sure {
             true => search.denied += 1,
             false => search.unsure.push(agent),
@@ -120,6 +171,38 @@
         }
     }
 
+    /// Goes on with a search by handing its first segment round; gives back to whom.
+    pub fn probe(
+        &mut self,
+        key: segment::StreamKey,
+        mut search: OwnerSearch,
+        now: ids::UnixMillis,
+    ) -> Vec<net::SocketAddrV4> {
+        search.began = now;
+        let width = search.unsure.len().min(PROBE_WIDTH);
+        search.probed = search.unsure.split_off(search.unsure.len() - width);
+        let probed = search.probed.clone();
+        self.searches.insert(key, search);
+        probed
+    }
+
+    /// Takes in that an agent's backend server gave a segment back.
+    pub fn give_back(&mut self, key: segment::StreamKey, agent: net::SocketAddrV4) -> ProbeOutcome {
+        let Some(search) = self.searches.get_mut(&key).filter(|search| search.is_probing()) else {
+            return ProbeOutcome::NotProbing;
+        };
+        search.probed.retain(|probed| *probed != agent);
+        if let Some(next) = search.unsure.pop() {
+            search.probed.push(next);
+            let segment = search.waiting.first().cloned().unwrap_or_default();
+            return ProbeOutcome::Next(next, segment);
+        }
+        match search.probed.is_empty() {
+            true => self.searches.remove(&key).map_or(ProbeOutcome::NotProbing, ProbeOutcome::Over),
+            false => ProbeOutcome::Waits,
+        }
+    }
+
     /// Ends a search.
     pub fn end(&mut self, key: segment::StreamKey) -> Option<OwnerSearch> {
         self.searches.remove(&key)
@@ -127,9 +210,7 @@
 
     /// Ends every search that has had no answer for too long.
     pub fn expire(&mut self, now: ids::UnixMillis) -> Vec<(segment::StreamKey, OwnerSearch)> {
-        let is_over =
-            |_: &segment::StreamKey, search: &mut OwnerSearch| now.since(search.began) >= ANSWER_MS;
-        self.searches.extract_if(is_over).collect()
+        self.searches.extract_if(|_, search| search.is_over(now)).collect()
     }
 
     /// How many searches are under way.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -67,6 +67,8 @@
     HostReport(host::HostReport),
     /// A run of the backend server has left.
     HostLeft(String),
+    /// Nothing listens at the backend server's address, on this process's own machine.
+    HostVanished,
     /// Shut down.
     Leave,
     /// Time has passed.
@@ -95,6 +97,8 @@
     Reset(segment::StreamKey, u32),
     /// Fetch the configuration from a process that holds a newer one.
     FetchConfig(net::SocketAddrV4),
+    /// See whether anything listens at the backend server's address.
+    ProbeHost,
     /// Count how long something took.
     Measure(StreamTiming),
     /// Log what was decided.
--- /dev/null
+++ b/crates/core/tests/stream_search.rs
@@ -0,0 +1,157 @@
+//! The search for streams that a balancer has never seen, among many backend servers.
+
+mod stream_world;
+
+use stream_world as world;
+
+/// More backend servers than the calm world's three.
+const HOSTS: u8 = 12;
+
+/// Everything loses power, and a caller sends its next request on a stream of a run that is dead.
+/// Each agent has just started and cannot tell what its backend server holds, so the segment is
+/// handed to all of them. One by one, the caller would wait for as many round trips as there are
+/// hosts; at once, it is reset after two, and tries again within its aim.
+#[test]
+fn dead_everywhere() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    for nth in 1..=HOSTS {
+        world.crash_host(nth);
+        world.start_agent(nth, "wallet");
+    }
+    world.start_balancer(1);
+    world.start_balancer(2);
+    world.advance(500);
+    world.send(key);
+    world.advance(10);
+    assert_eq!(world.view(key).resets, 1);
+}
+
+/// The same, but one of the hosts says that it leaves, and its machine is taken away for good. What
+/// it held has ended with it; a balancer that waited for its word could not tell the caller.
+#[test]
+fn one_has_left() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    for nth in 1..=HOSTS {
+        world.crash_host(nth);
+        world.start_agent(nth, "wallet");
+    }
+    world.start_balancer(1);
+    world.advance(500);
+    let leaver = (1..=HOSTS).find(|nth| !world.holders(key).contains(nth)).unwrap();
+    world.leave_host(leaver);
+    world.advance(20);
+    world.remove_agent(leaver);
+    world.advance(500);
+    world.send(key);
+    world.advance(10);
+    assert_eq!(world.view(key).resets, 1);
+}
+
+/// A living stream is searched for while no agent can tell: its segment goes to all, one backend
+/// server keeps it and answers, and the caller's further segments go there alone.
+#[test]
+fn found_among_many() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    for nth in 1..=HOSTS {
+        world.start_agent(nth, "wallet");
+    }
+    world.start_balancer(1);
+    world.advance(500);
+    for answers in 1..=3 {
+        world.send(key);
+        world.advance(100);
+        assert_eq!((world.view(key).answers, world.view(key).resets), (answers, 0));
+    }
+}
+
+/// Callers of dead streams send their next requests all at once while new streams are opened. The
+/// segments that are handed round are no work: a host that counted them would look full, and
+/// openings would be refused though every slot is free.
+#[test]
+fn search_is_no_work() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 2);
+    for caller in 0..40 {
+        world.open(world::key(caller, 0), 0);
+        world.advance(30);
+    }
+    for nth in 1..=HOSTS {
+        world.crash_host(nth);
+        world.start_agent(nth, "wallet");
+    }
+    world.start_balancer(1);
+    world.advance(500);
+    for nth in 1..=HOSTS {
+        world.host(nth).give_back_ms = 20;
+    }
+    for caller in 0..40 {
+        world.send(world::key(caller, 0));
+    }
+    for caller in 100..112 {
+        world.open(world::key(caller, 0), 0);
+        world.advance(1);
+    }
+    world.advance(50);
+    for caller in 100..112 {
+        let view = world.view(world::key(caller, 0));
+        assert!(view.first.is_some(), "caller {caller} is refused");
+    }
+}
+
+/// Everything loses power, and one machine does not come back; its announcement stays. A caller
+/// sends its next request on a stream of a run that is dead. The balancer has never heard the
+/// agent that is lost: after two seconds it no longer waits for its word.
+#[test]
+fn lost_machine() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    for nth in 1..HOSTS {
+        world.crash_host(nth);
+        world.start_agent(nth, "wallet");
+    }
+    world.host(HOSTS).is_dark = true;
+    world.remove_agent(HOSTS);
+    world.start_balancer(1);
+    world.advance(1_500);
+    world.send(key);
+    world.advance(60);
+    assert_eq!(world.view(key).resets, 0, "an agent that restarts may take as long");
+    world.advance(600);
+    world.send(key);
+    world.advance(10);
+    assert_eq!(world.view(key).resets, 1);
+}
+
+/// A balancer starts while it is cut off. When the cut ends it hears one agent before the others,
+/// and a segment of an open stream comes in between. The others are not lost: their reports are on
+/// the way, and the stream goes on.
+#[test]
+fn reached_again() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let balancer = world::balancer_address(1);
+    world.cut.insert(balancer);
+    world.start_balancer(1);
+    world.advance(3_000);
+    world.heal();
+    // Reports come ten times a second, a tenth of them before this.
+    for _ in 0..20 {
+        world.send(key);
+        world.advance(10);
+    }
+    world.advance(300);
+    assert_eq!(world.view(key).resets, 0);
+    assert!(world.view(key).answers > 0);
+}
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic;
 use std::time;
 
-use async_signal::Signals;
 use eyre::WrapErr as _;
 use rand::Rng as _;
 use rosemaryusher_core::ids;
@@ -23,6 +22,7 @@
 use crate::meters;
 use crate::rings;
 use crate::settings;
+use crate::stream::backend;
 use crate::stream::control;
 use crate::stream::edge;
 use crate::stream::journal;
@@ -63,6 +63,9 @@
 ///
 /// Fails if an address cannot be listened at or a thread cannot be started.
 pub fn run(parts: StreamParts) -> eyre::Result<()> {
+    // Before anything else: a signal that came while the process starts would end it.
+    let wanted = [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
+    let signals = async_signal::Signals::new(wanted)?;
     logs::start(&parts.settings.logs, &parts.settings.name)?;
     threads::stop_on_panic();
     let metrics = meters::start()?;
@@ -93,6 +96,7 @@
     };
     let (inputs, input_ends) = rings::ring();
     let (fetches, fetch_ends) = channel::bounded(1);
+    let (probes, probe_ends) = channel::bounded(1);
     let status = sync::Arc::new(status::StreamStatus::default());
     let packets = packets::PacketThread {
         engine,
@@ -104,6 +108,7 @@
         caller_port: streams.network_address.port(),
         inputs: input_ends,
         fetches,
+        probes,
         status: status.clone(),
         journal: journal::StreamJournal::new(clock.now()),
     };
@@ -144,7 +149,8 @@
     });
     smol::block_on(executor.run(async {
         control::start(&hub, fetch_ends).await?;
-        serve_signals(&hub).await?;
+        executor.spawn(backend::watch(hub.clone(), probe_ends)).detach();
+        serve_signals(&hub, signals).await?;
         leave(&hub).await;
         Ok(())
     }))
@@ -156,9 +162,10 @@
 }
 
 /// Handles signals until one asks the process to shut down.
-async fn serve_signals(hub: &control::StreamHub) -> eyre::Result<()> {
-    let wanted = [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
-    let mut signals = Signals::new(wanted)?;
+async fn serve_signals(
+    hub: &control::StreamHub,
+    mut signals: async_signal::Signals,
+) -> eyre::Result<()> {
     while let Some(signal) = signals.next().await {
         match signal? {
             async_signal::Signal::Hup => control::reload(hub).await,
@@ -174,6 +181,7 @@
 /// its streams while its agent is away.
 async fn leave(hub: &control::StreamHub) {
     logs::event(&serde_json::json!({ "event": "leaving" }));
+    backend::look(hub).await;
     hub.tell(packets::StreamInput::Leave).await;
     control::withdraw(hub).await;
     let began = time::Instant::now();
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -11,6 +11,7 @@
 //! | `journal` | log lines and metrics of decisions, bounded |
 //! | [`daemon`] | how a process starts, reloads and shuts down |
 
+mod backend;
 mod control;
 pub mod daemon;
 pub mod edge;
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -51,6 +51,8 @@
     HostReport(host::HostReport),
     /// A run of the backend server has left.
     HostLeft(String),
+    /// Nothing listens at the backend server's address.
+    HostVanished,
     /// Shut down.
     Leave,
     /// Someone wants to see the state.
@@ -71,6 +73,8 @@
     pub(crate) inputs: channel::Receiver<StreamInput>,
     /// Processes to fetch the configuration from.
     pub(crate) fetches: channel::Sender<net::SocketAddrV4>,
+    /// Asks to see whether the backend server is there.
+    pub(crate) probes: channel::Sender<()>,
     pub(crate) status: sync::Arc<status::StreamStatus>,
     pub(crate) journal: journal::StreamJournal,
 }
@@ -229,6 +233,7 @@
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
             StreamInput::HostLeft(run) => stream::StreamEvent::HostLeft(run),
+            StreamInput::HostVanished => stream::StreamEvent::HostVanished,
             StreamInput::Leave => stream::StreamEvent::Leave,
             StreamInput::Dump(reply) => {
                 // Nobody waits for it any more if this fails.
@@ -273,6 +278,8 @@
                 }
                 // A fetch is under way if the ring is full.
                 stream::StreamAction::FetchConfig(from) => drop(self.fetches.try_send(from)),
+                // One is under way if the ring is full.
+                stream::StreamAction::ProbeHost => drop(self.probes.try_send(())),
                 stream::StreamAction::Measure(timing) => journal::measure(timing),
                 stream::StreamAction::Note(note) => self.journal.write(&note, now),
             }
