Split the stream tests' world by its parts; show that the new tests can fail

The world of the stream tests had grown to 840 lines: callers, backend servers and the oracle are modules of their own now. Ten mutants for the safeguards of searches and of hosts that vanish, all noticed; three needed harder tests first (one agent heard before the others; all hosts tried at once; news of a configuration, which has a test of its own now, config_news). Two older mutants fit again: noticed.

--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -78,23 +78,24 @@
 /// openings would be refused though every slot is free.
 #[test]
 fn search_is_no_work() {
-    let mut world = world::StreamWorld::with_hosts(HOSTS, 2);
+    let mut world = world::StreamWorld::with_hosts(8, 2);
     for caller in 0..40 {
         world.open(world::key(caller, 0), 0);
         world.advance(30);
     }
-    for nth in 1..=HOSTS {
+    for nth in 1..=8 {
         world.crash_host(nth);
         world.start_agent(nth, "wallet");
     }
     world.start_balancer(1);
     world.advance(500);
-    for nth in 1..=HOSTS {
+    for nth in 1..=8 {
         world.host(nth).give_back_ms = 20;
     }
     for caller in 0..40 {
         world.send(world::key(caller, 0));
     }
+    world.advance(5);
     for caller in 100..112 {
         world.open(world::key(caller, 0), 0);
         world.advance(1);
@@ -156,26 +157,28 @@
     assert_eq!(world.view(key).resets, 1);
 }
 
-/// A balancer starts while it is cut off. When the cut ends it hears one agent before the others,
-/// and a segment of an open stream comes in between. The others are not lost: their reports are on
-/// the way, and the stream goes on.
+/// A balancer starts while it is cut off. When the cut ends it hears one agent a moment before the
+/// others, and a segment of an open stream comes in between. The others are not lost: their reports
+/// are on the way, and the stream goes on.
 #[test]
 fn reached_again() {
     let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    let balancer = world::balancer_address(1);
-    world.cut.insert(balancer);
+    let holder = world.holders(key)[0];
+    let first = if holder == 1 { 2 } else { 1 };
+    world.cut.extend((1..=HOSTS).map(world::agent_address));
     world.start_balancer(1);
     world.advance(3_000);
-    world.heal();
-    // Reports come ten times a second, a tenth of them before this.
-    for _ in 0..20 {
-        world.send(key);
-        world.advance(10);
-    }
-    world.advance(300);
+    world.cut.remove(&world::agent_address(first));
+    world.advance(250);
+    world.send(key);
+    world.advance(200);
     assert_eq!(world.view(key).resets, 0);
-    assert!(world.view(key).answers > 0);
+    world.heal();
+    world.advance(250);
+    world.send(key);
+    world.advance(100);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
 }
--- /dev/null
+++ b/crates/core/tests/stream_world/hosts.rs
@@ -0,0 +1,220 @@
+//! Fake backend servers.
+
+use std::collections;
+use std::net;
+
+use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::host;
+use rosemaryusher_core::stream::segment;
+
+use super::Envelope;
+use super::HOST_REPORT_MS;
+use super::StreamWorld;
+use super::agent_address;
+
+/// A backend server that holds streams and answers data.
+#[derive(Debug, Default)]
+pub(crate) struct FakeHost {
+    pub(crate) run: u64,
+    pub(crate) service: String,
+    pub(crate) slots: u32,
+    /// Streams that are open or half open, with the number each began with.
+    pub(crate) held: collections::BTreeMap<segment::StreamKey, u32>,
+    /// Data that is being worked on, until when.
+    pub(crate) work: Vec<(ids::UnixMillis, segment::StreamKey)>,
+    pub(crate) work_ms: u64,
+    /// How long it takes to give a segment back.
+    pub(crate) give_back_ms: u64,
+    /// Answers nothing and reports nothing.
+    pub(crate) is_dark: bool,
+    pub(crate) is_draining: bool,
+    /// Its agent has taken in that it is draining.
+    pub(crate) drain_is_known: bool,
+    pub(crate) reports: u64,
+    pub(crate) reported: ids::UnixMillis,
+    /// Openings that it took.
+    pub(crate) openings: Vec<segment::StreamKey>,
+}
+
+/// Backend servers come and go.
+impl StreamWorld {
+    pub(crate) fn start_host(&mut self, nth: u8, service: &str, slots: u32) {
+        self.runs += 1;
+        let host = FakeHost {
+            run: self.runs,
+            service: service.to_owned(),
+            slots,
+            work_ms: 40,
+            ..FakeHost::default()
+        };
+        self.hosts.insert(agent_address(nth), host);
+    }
+
+    /// The backend server crashes and starts again: its streams are gone.
+    pub(crate) fn crash_host(&mut self, nth: u8) {
+        let host = self.host(nth);
+        let (service, slots) = (host.service.clone(), host.slots);
+        self.start_host(nth, &service, slots);
+    }
+
+    /// The backend server says that it has left, and is gone.
+    pub(crate) fn leave_host(&mut self, nth: u8) {
+        let run = format!("run-{}", self.host(nth).run);
+        self.hosts.remove(&agent_address(nth));
+        self.handle(agent_address(nth), stream::StreamEvent::HostLeft(run));
+    }
+
+    /// The backend server ends without a word, and nothing takes its place.
+    pub(crate) fn kill_host(&mut self, nth: u8) {
+        self.hosts.remove(&agent_address(nth));
+    }
+
+    pub(crate) fn drain_host(&mut self, nth: u8) {
+        if let Some(host) = self.hosts.get_mut(&agent_address(nth)) {
+            host.is_draining = true;
+            host.reported = ids::UnixMillis(0);
+        }
+    }
+
+    /// A backend server hangs, or goes on.
+    pub(crate) fn hang_host(&mut self, nth: u8, is_dark: bool) {
+        if let Some(host) = self.hosts.get_mut(&agent_address(nth)) {
+            host.is_dark = is_dark;
+        }
+    }
+
+    pub(crate) fn host(&mut self, nth: u8) -> &mut FakeHost {
+        self.hosts.get_mut(&agent_address(nth)).expect("there is such a host")
+    }
+}
+
+/// What backend servers do.
+impl StreamWorld {
+    /// The oracle of what a backend server is handed, and the backend server.
+    pub(super) fn deliver_to_host(
+        &mut self,
+        agent: net::SocketAddrV4,
+        marks: segment::SegmentMarks,
+        bytes: &[u8],
+    ) {
+        let written = self.read(bytes);
+        let mut head = written.head;
+        assert!(written.is_of_caller, "a backend server is handed what no caller wrote: {head:?}");
+        head.marks = marks;
+        let key = head.key_from_caller();
+        if head.is_opening() {
+            self.check_in_force(agent, &written, marks);
+        }
+        let Some(host) = self.hosts.get_mut(&agent).filter(|host| !host.is_dark) else { return };
+        if head.is_opening() {
+            let route = (key.entry, host.service.clone());
+            assert!(self.allowed.contains(&route), "{key} opens at {}", host.service);
+            assert!(!host.drain_is_known, "{key} opens at a backend server that is leaving");
+            host.openings.push(key);
+            let run = host.run as u32;
+            let fresh = run.wrapping_mul(0x9e37_79b9) ^ u32::from(key.caller.port());
+            let first = *host.held.entry(key).or_insert(fresh);
+            let flags = segment::SegmentFlags {
+                opens: true,
+                acknowledges: true,
+                ..segment::SegmentFlags::default()
+            };
+            self.answer(agent, key, flags, first, 0);
+            return;
+        }
+        let is_own_half =
+            |first: &u32| head.acknowledged.wrapping_sub(first.wrapping_add(1)) < 1 << 20;
+        if host.held.get(&key).is_some_and(|first| !is_own_half(first)) {
+            return;
+        }
+        if !host.held.contains_key(&key) {
+            head.flags.given_back = true;
+            let bytes = bytes.to_vec();
+            let give_back_ms = host.give_back_ms;
+            self.post(give_back_ms, Envelope::FromHost { agent, head, bytes });
+            return;
+        }
+        if head.length > 0 {
+            let due = self.now.plus(host.work_ms);
+            host.work.push((due, key));
+        }
+        if head.flags.ends {
+            host.held.remove(&key);
+            let flags = segment::SegmentFlags {
+                acknowledges: true,
+                ends: true,
+                ..segment::SegmentFlags::default()
+            };
+            self.answer(agent, key, flags, 0, 0);
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        agent: net::SocketAddrV4,
+        key: segment::StreamKey,
+        flags: segment::SegmentFlags,
+        sequence: u32,
+        length: u16,
+    ) {
+        let head = segment::SegmentHead {
+            source: key.entry,
+            destination: key.caller,
+            flags,
+            sequence,
+            acknowledged: 8,
+            length,
+            marks: segment::SegmentMarks::default(),
+        };
+        let bytes = self.write(head, false);
+        self.post(0, Envelope::FromHost { agent, head, bytes });
+    }
+
+    pub(super) fn run_hosts(&mut self) {
+        let now = self.now;
+        let mut answers = Vec::new();
+        let mut reports = Vec::new();
+        for (agent, host) in &mut self.hosts {
+            if host.is_dark {
+                continue;
+            }
+            let held = &host.held;
+            host.work.retain(|(due, key)| {
+                if *due <= now && held.contains_key(key) {
+                    answers.push((*agent, *key));
+                }
+                *due > now
+            });
+            if now.since(host.reported) >= HOST_REPORT_MS {
+                host.reported = now;
+                host.reports += 1;
+                reports.push(*agent);
+            }
+        }
+        for (agent, key) in answers {
+            let flags = segment::SegmentFlags { acknowledges: true, ..Default::default() };
+            self.answer(agent, key, flags, 1, 500);
+        }
+        for agent in reports {
+            self.report_host(agent);
+        }
+    }
+
+    pub(super) fn report_host(&mut self, agent: net::SocketAddrV4) {
+        if !self.agents.contains_key(&agent) || self.frozen.contains(&agent) {
+            return;
+        }
+        let Some(host) = self.hosts.get_mut(&agent) else { return };
+        host.drain_is_known |= host.is_draining;
+        let report = host::HostReport {
+            run: format!("run-{}", host.run),
+            sequence: host.reports,
+            service: host.service.clone(),
+            slots: host.slots,
+            is_draining: host.is_draining,
+            slow_left_ms: 0,
+        };
+        self.handle(agent, stream::StreamEvent::HostReport(report));
+    }
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -52,7 +52,7 @@
 stream-drain-ignored	crates/core/src/stream/agent/admission.rs	s/_ => Some\(message::ReturnReason::NotServing\),/host::HostPhase::Draining => None, _ => Some(message::ReturnReason::NotServing),/	-p rosemaryusher-core --test stream_moves host_drains
 stream-service-unchecked	crates/core/src/stream/agent/admission.rs	s/_ if carry\.service != self\.config\.service => Some\(message::ReturnReason::OtherService\),//;s/_ if self\.is_rerouted\(key, carry\.generation\) => \{?\s*Some\(message::ReturnReason::OtherService\)\s*\}?,?//	-p rosemaryusher-core --test stream_moves address_reused
 stream-dropped-route-runs	crates/core/src/stream/agent/admission.rs	s/None => self\.state\.generation\(\) > generation,/None => false,/	-p rosemaryusher-core --test stream_moves route_dropped
-stream-lookup-skipped	crates/core/src/stream/balancer/routing.rs	s/let holders = self\.board\.holders\(service\);/let holders: Vec<net::SocketAddrV4> = Vec::new();/	-p rosemaryusher-core --test stream_moves balancer_replaced
+stream-lookup-skipped	crates/core/src/stream/balancer/routing.rs	s/let holders = self\.board\.holders\(service, now\);/let holders: crate::stream::board::PossibleHolders = Default::default();/	-p rosemaryusher-core --test stream_moves balancer_replaced
 stream-reset-unsure	crates/core/src/stream/balancer/routing.rs	s/self\.knows_members && search\.is_answered\(\) && search\.asked > 0/true/	-p rosemaryusher-core --test stream_moves agent_unheard
 stream-agent-always-sure	crates/core/src/stream/agent/mod.rs	s/self\.has_seen_all \|\| is_old/true || is_old/	-p rosemaryusher-core --test stream_moves agent_restarted
 stream-halves-not-told	crates/core/src/stream/held.rs	s/self\.first_sequence\.is_none_or\(is_near\)/self.first_sequence.is_none_or(|first| is_near(first) || true)/	-p rosemaryusher-core --test stream_moves halves_told_apart
@@ -65,9 +65,19 @@
 stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > EXPECT_MS => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-late-report-taken	crates/core/src/stream/host.rs	s/_ if self\.ended\.contains\(&report\.run\) => ReportOutcome::Stale,//	-p rosemaryusher-core --test stream_moves late_reports
 stream-stale-openings	crates/core/src/stream/pause.rs	s/const PAUSE_MS: u64 = 500/const PAUSE_MS: u64 = u64::MAX/	-p rosemaryusher-core --test stream_moves frozen
-stream-news-ignored	crates/core/src/stream/balancer/neighbours.rs	s/if report\.generation > self\.state\.generation\(\) \{/if false {/g	-p rosemaryusher-core --test stream_fuzz
+stream-news-ignored	crates/core/src/stream/balancer/neighbours.rs	s/if report\.generation > self\.state\.generation\(\) \{/if false {/g	-p rosemaryusher-core --test config_news
 stream-bytes-changed	crates/core/src/stream/agent/admission.rs	s/self\.held\.hear_caller\(key, (.*?)HandOver\(marks, segment\.bytes\.to_vec\(\)\)/self.held.hear_caller(key, $1HandOver(marks, segment.bytes.iter().map(|b| b ^ 1).collect())/s	-p rosemaryusher-core --test stream_fuzz
 stream-answer-astray	crates/core/src/stream/agent/hosting.rs	s/Answer\(\*key\.caller\.ip\(\)/Answer(*key.entry.ip()/	-p rosemaryusher-core --test stream_fuzz
+stream-probes-counted	crates/core/src/stream/agent/admission.rs	s/message::CarryKind::Probe => \{/message::CarryKind::OpenQueued => {/	-p rosemaryusher-core --test stream_search search_is_no_work
+stream-lost-waited-for	crates/core/src/stream/board.rs	s/LOST_MS: u64 = 2_000/LOST_MS: u64 = 60_000/	-p rosemaryusher-core --test stream_search lost_machine
+stream-out-of-contact	crates/core/src/stream/board.rs	s/if 2 \* heard < self\.agents\.len\(\) \{/if false \&\& heard > 0 {/	-p rosemaryusher-core --test stream_search reached_again
+stream-gone-asked	crates/core/src/stream/board.rs	s/Some\(report\) if report\.phase == host::HostPhase::Gone => \{\}//	-p rosemaryusher-core --test stream_search one_has_left
+stream-host-not-doubted	crates/core/src/stream/agent/hosting.rs	s/actions\.push\(stream::StreamAction::ProbeHost\);//	-p rosemaryusher-core --test host_vanished killed_midway
+stream-vanished-for-good	crates/core/src/stream/host.rs	s/self\.has_vanished &= !is_back;//	-p rosemaryusher-core --test host_vanished back_again
+stream-vanished-proves	crates/core/src/stream/agent/hosting.rs	s/host::ReportOutcome::Returned => self\.has_seen_all = false,/host::ReportOutcome::Returned => {}/	-p rosemaryusher-core --test host_vanished back_with_streams
+stream-searched-reset	crates/core/src/stream/held.rs	s/if is_open && stream\.is_known\(\) \{/if is_open {/	-p rosemaryusher-core --test host_vanished searched_while_ending
+stream-dead-end	crates/core/src/stream/agent/admission.rs	s/false if self\.phase\(now\) == host::HostPhase::Gone => \{/false if false => {/	-p rosemaryusher-core --test host_vanished copy_elsewhere
+stream-held-denied	crates/core/src/stream/agent/hosting.rs	s/is_some_and\(\|stream\| stream\.is_searched\)/is_some_and(|stream| !stream.is_opened_here)/	-p rosemaryusher-core --test stream_search opening_lost
 marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !\w+;//	-p rosemaryusher-platform --test head_codec marks_removed
 lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
 TABLE
