One way for a backend server to be gone; withdraw after that is known

The two ways in which an agent learns of it ended in the same lines. An agent that sees at its shutdown that nothing is beside it withdrew its announcement before the thread that decides had said so; it waits a moment now, so that no announcement of a machine that is taken away stays behind.

--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -73,15 +73,7 @@
         if !self.host.leave(run) {
             return;
         }
-        let reset = self.reset_opened_until(now, actions);
-        actions.push(stream::StreamAction::Note(note::StreamNote::HostChanged {
-            run: run.to_owned(),
-            phase: host::HostPhase::Gone,
-            slots: self.host.slots(),
-            sequence: 0,
-            reset,
-        }));
-        self.report(now, actions);
+        self.host_gone(now, actions);
     }
 
     /// Takes in that nothing listens at the backend server's address.
@@ -98,6 +90,10 @@
         }
         // Whatever comes next begins under the eyes of this run of the agent.
         self.has_seen_all = true;
+        self.host_gone(now, actions);
+    }
+
+    fn host_gone(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         let reset = self.reset_opened_until(now, actions);
         actions.push(stream::StreamAction::Note(note::StreamNote::HostChanged {
             run: self.host.run().unwrap_or_default().to_owned(),
--- a/crates/core/tests/host_vanished.rs
+++ b/crates/core/tests/host_vanished.rs
@@ -109,12 +109,8 @@
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    for nth in 1..=3 {
-        world.crash_host(nth);
-        world.start_agent(nth, "wallet");
-    }
+    world.lose_power(1..=3);
     world.kill_host(2);
-    world.start_balancer(1);
     world.advance(700);
     world.remove_agent(2);
     world.advance(500);
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -17,11 +17,7 @@
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    for nth in 1..=HOSTS {
-        world.crash_host(nth);
-        world.start_agent(nth, "wallet");
-    }
-    world.start_balancer(1);
+    world.lose_power(1..=HOSTS);
     world.start_balancer(2);
     world.advance(500);
     world.send(key);
@@ -37,11 +33,7 @@
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    for nth in 1..=HOSTS {
-        world.crash_host(nth);
-        world.start_agent(nth, "wallet");
-    }
-    world.start_balancer(1);
+    world.lose_power(1..=HOSTS);
     world.advance(500);
     let leaver = (1..=HOSTS).find(|nth| !world.holders(key).contains(nth)).unwrap();
     world.leave_host(leaver);
@@ -83,11 +75,7 @@
         world.open(world::key(caller, 0), 0);
         world.advance(30);
     }
-    for nth in 1..=8 {
-        world.crash_host(nth);
-        world.start_agent(nth, "wallet");
-    }
-    world.start_balancer(1);
+    world.lose_power(1..=8);
     world.advance(500);
     for nth in 1..=8 {
         world.host(nth).give_back_ms = 20;
@@ -140,13 +128,9 @@
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    for nth in 1..HOSTS {
-        world.crash_host(nth);
-        world.start_agent(nth, "wallet");
-    }
     world.host(HOSTS).is_dark = true;
     world.remove_agent(HOSTS);
-    world.start_balancer(1);
+    world.lose_power(1..HOSTS);
     world.advance(1_500);
     world.send(key);
     world.advance(60);
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -223,6 +223,15 @@
         self.deliver_config(address);
     }
 
+    /// These agents, their backend servers and the first balancer lose power and start anew.
+    pub(crate) fn lose_power(&mut self, agents: impl Iterator<Item = u8>) {
+        for nth in agents {
+            self.crash_host(nth);
+            self.start_agent(nth, "wallet");
+        }
+        self.start_balancer(1);
+    }
+
     /// Starts an agent, or starts it anew beside the same backend server.
     pub(crate) fn start_agent(&mut self, nth: u8, service: &str) {
         let address = agent_address(nth);
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -183,6 +183,8 @@
     logs::event(&serde_json::json!({ "event": "leaving" }));
     backend::look(hub).await;
     hub.tell(packets::StreamInput::Leave).await;
+    // By then the other thread has said whether the backend server may hold streams.
+    smol::Timer::after(time::Duration::from_millis(LEAVE_POLL_MS)).await;
     control::withdraw(hub).await;
     let began = time::Instant::now();
     let grace = time::Duration::from_secs(hub.streams().grace_s);
