--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -5,9 +5,9 @@
 //! round trip. A service has few hosts: three on average at the largest size.
 //!
 //! Agents that have started later than their backend servers cannot answer. Their backend servers
-//! can: a segment that one does not hold comes back. It is handed to all of these at once; one by
-//! one, a stream that is open nowhere cost its caller as many round trips as there are hosts, and
-//! its deadline where one of them had just been taken away.
+//! can: a segment that one does not hold comes back. It is handed to eight of these at a time; one
+//! by one, a stream that is open nowhere cost its caller as many round trips as there are hosts,
+//! and its deadline where one of them had just been taken away.
 
 use std::collections;
 use std::net;
