--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -10,6 +10,7 @@
 use crate::platform;
 use crate::platform::ObjectStore as _;
 use crate::release;
+use crate::release::parts;
 
 /// How many processes watch the platform.
 ///
@@ -57,7 +58,7 @@
     let Some(store) = &hub.store else { return };
     let wait = time::Duration::from_millis(hub.settings.control.watch_ms);
     let mut pause_ms = 100;
-    let mut cache = release::PartCache::default();
+    let mut cache = parts::PartCache::default();
     loop {
         let has_none = hub.generation() == ids::ConfigGeneration(0);
         let is_lonely = hub.unheard_ms() >= LONELY_MS;
@@ -85,7 +86,7 @@
     hub: &control::ControlHub,
     store: &platform::HttpStore,
     wait: time::Duration,
-    cache: &mut release::PartCache,
+    cache: &mut parts::PartCache,
 ) -> eyre::Result<()> {
     let held = hub.generation().0;
     let Some(head) = store.watch(release::HEAD_KEY, held, wait).await? else { return Ok(()) };
--- a/crates/node/src/release.rs
+++ b/crates/node/src/release/mod.rs
@@ -4,8 +4,10 @@
 //! and never changed; the configuration is accepted at the moment when the conditional update of
 //! the head succeeds. A half-written configuration is therefore never seen.
 
+pub mod addresses;
+pub mod parts;
+
 use std::collections;
-use std::net;
 use std::time;
 
 use eyre::WrapErr as _;
@@ -23,14 +25,6 @@
 /// The key of the head object.
 pub const HEAD_KEY: &str = "config/head";
 
-/// Into how many parts the services are spread, at most.
-///
-/// Each change rewrites one part and the head, so a part stays far below the platform's megabyte.
-const PART_COUNT: u32 = 64;
-
-/// The longest value that the platform takes, in bytes.
-const LONGEST_VALUE: usize = 1_000_000;
-
 /// How many earlier writes a head remembers, so that a writer finds its own under later ones.
 const HISTORY_LENGTH: usize = 64;
 
@@ -46,17 +40,6 @@
 /// How often a platform that cannot be reached is asked again.
 const STORE_ATTEMPTS: u32 = 8;
 
-/// An address that may not serve another service yet.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RestingAddress {
-    /// The address.
-    pub address: net::SocketAddr,
-    /// The service that had it.
-    pub service: String,
-    /// Until when it rests.
-    pub until: ids::UnixMillis,
-}
-
 /// One accepted write.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct WriteRecord {
@@ -80,7 +63,7 @@
     /// The keys that seal tickets.
     pub keys: ticket::KeyRing,
     /// Addresses that rest.
-    pub resting: Vec<RestingAddress>,
+    pub resting: Vec<addresses::RestingAddress>,
     /// Services that were removed, the latest last.
     #[serde(default)]
     pub removed: Vec<RemovedService>,
@@ -145,33 +128,6 @@
     Faulty(Vec<manifest::ManifestFault>),
 }
 
-/// Parts that were read before, by their keys.
-///
-/// A part's key is its digest, so one that was read once is never read again: a change costs a
-/// watcher the head and the parts that changed, however large the configuration is.
-#[derive(Clone, Debug, Default)]
-pub struct PartCache {
-    parts: collections::HashMap<String, Vec<manifest::ServiceSpec>>,
-}
-
-impl PartCache {
-    /// The parts with these keys, read from the platform where they are not here.
-    async fn load(
-        &mut self,
-        store: &dyn platform::ObjectStore,
-        keys: &[String],
-    ) -> eyre::Result<Vec<manifest::ServiceSpec>> {
-        self.parts.retain(|key, _| keys.contains(key));
-        for key in keys {
-            if !self.parts.contains_key(key) {
-                let part = load_parts(store, std::slice::from_ref(key)).await?;
-                self.parts.insert(key.clone(), part);
-            }
-        }
-        Ok(keys.iter().filter_map(|key| self.parts.get(key)).flatten().cloned().collect())
-    }
-}
-
 /// Reads the configuration that a head object names.
 ///
 /// # Errors
@@ -180,7 +136,7 @@
 pub async fn load(
     store: &dyn platform::ObjectStore,
     head: &platform::StoredObject,
-    cache: &mut PartCache,
+    cache: &mut parts::PartCache,
 ) -> eyre::Result<config::ConfigDelta> {
     let object: HeadObject =
         serde_json::from_str(&head.value).wrap_err("the head object is damaged")?;
@@ -236,7 +192,7 @@
         NextHead::Faulty(faults) => return Ok(ReleaseOutcome::Faulty(faults)),
     };
     for (key, value) in parts {
-        write_part(store, &key, &value).await?;
+        parts::write_part(store, &key, &value).await?;
     }
     write_head(store, held, &object, &write_id, draft).await
 }
@@ -273,7 +229,7 @@
         &self,
         store: &dyn platform::ObjectStore,
     ) -> eyre::Result<manifest::ServiceManifest> {
-        let mut services = load_parts(store, &self.object.parts).await?;
+        let mut services = parts::load_parts(store, &self.object.parts).await?;
         services.sort_by(|a, b| a.name.cmp(&b.name));
         let data_centres = self.object.data_centres.clone();
         Ok(manifest::ServiceManifest { data_centres, services })
@@ -308,7 +264,7 @@
         ReleaseChange::Manifest(wanted) => {
             let current = held.manifest(store).await?;
             let mut faults = wanted.check();
-            faults.extend(resting_faults(wanted, &current, &object.resting, now));
+            faults.extend(addresses::resting_faults(wanted, &current, &object.resting, now));
             if !faults.is_empty() {
                 return Ok(NextHead::Faulty(faults));
             }
@@ -319,10 +275,10 @@
                 object.keys.rotate(now, ids::UnixMillis(0), random_secret());
             }
             note_removed(&mut object, wanted, &current, held.generation());
-            object.resting = next_resting(wanted, &current, &object.resting, now);
+            object.resting = addresses::next_resting(wanted, &current, &object.resting, now);
             object.data_centres = wanted.data_centres.clone();
-            parts = parts_of(wanted)?;
-            if let Some(fault) = size_fault(&parts) {
+            parts = parts::parts_of(wanted)?;
+            if let Some(fault) = parts::size_fault(&parts) {
                 return Ok(NextHead::Faulty(vec![fault]));
             }
             object.parts = parts.keys().cloned().collect();
@@ -403,93 +359,6 @@
     Err(platform::StoreError::Unavailable.into())
 }
 
-async fn load_parts(
-    store: &dyn platform::ObjectStore,
-    keys: &[String],
-) -> eyre::Result<Vec<manifest::ServiceSpec>> {
-    let mut services = Vec::new();
-    for key in keys {
-        let part = read_object(store, key).await?;
-        let part = part.ok_or_else(|| eyre::eyre!("part {key} is missing"))?;
-        let specs: Vec<manifest::ServiceSpec> =
-            serde_json::from_str(&part.value).wrap_err_with(|| format!("part {key} is damaged"))?;
-        services.extend(specs);
-    }
-    Ok(services)
-}
-
-/// Writes a part; one that exists is the same, since its key is its digest.
-async fn write_part(store: &dyn platform::ObjectStore, key: &str, value: &str) -> eyre::Result<()> {
-    for attempt in 0..STORE_ATTEMPTS {
-        match store.put(key, value.to_owned(), platform::WriteCondition::Absent).await {
-            Ok(_) | Err(platform::StoreError::Conflict) => return Ok(()),
-            Err(_) => back_off(attempt).await,
-        }
-    }
-    Err(platform::StoreError::Unavailable.into())
-}
-
-fn parts_of(
-    manifest: &manifest::ServiceManifest,
-) -> eyre::Result<collections::BTreeMap<String, String>> {
-    let mut buckets: collections::BTreeMap<u32, Vec<&manifest::ServiceSpec>> =
-        collections::BTreeMap::new();
-    for spec in &manifest.services {
-        buckets.entry(spec.id().0 % PART_COUNT).or_default().push(spec);
-    }
-    let mut parts = collections::BTreeMap::new();
-    for specs in buckets.values() {
-        let value = serde_json::to_string(specs)?;
-        let key = format!("config/part-{}", blake3::hash(value.as_bytes()).to_hex());
-        parts.insert(key, value);
-    }
-    Ok(parts)
-}
-
-/// Refuses a part that the platform would not take, before anything is written.
-fn size_fault(parts: &collections::BTreeMap<String, String>) -> Option<manifest::ManifestFault> {
-    let longest = parts.values().map(String::len).max()?;
-    (longest > LONGEST_VALUE).then(|| manifest::ManifestFault {
-        path: "services".to_owned(),
-        problem: format!("a part would be {longest} bytes, the platform takes {LONGEST_VALUE}"),
-        mend: "leave out rules that are at their defaults, or use fewer services".to_owned(),
-    })
-}
-
-fn resting_faults(
-    wanted: &manifest::ServiceManifest,
-    current: &manifest::ServiceManifest,
-    resting: &[RestingAddress],
-    now: ids::UnixMillis,
-) -> Vec<manifest::ManifestFault> {
-    let in_use = current
-        .services
-        .iter()
-        .flat_map(|spec| spec.addresses().map(|address| (address, spec.name.as_str())));
-    let rests = resting.iter().filter(|rest| rest.until > now);
-    let taken: collections::HashMap<_, _> =
-        rests.map(|rest| (rest.address, rest.service.as_str())).chain(in_use).collect();
-    let mut faults = Vec::new();
-    for (index, spec) in wanted.services.iter().enumerate() {
-        for address in spec.addresses() {
-            let Some(other) = taken.get(&address).filter(|other| **other != spec.name) else {
-                continue;
-            };
-            let rest_s = config::ADDRESS_REST_MS / 1_000;
-            faults.push(manifest::ManifestFault {
-                path: format!("services[{index}]"),
-                problem: format!("{address} served {other:?} until now"),
-                mend: format!(
-                    "use another address, or remove it and apply again after {rest_s} s, so that \
-                     no caller of {other:?} reaches {:?}",
-                    spec.name
-                ),
-            });
-        }
-    }
-    faults
-}
-
 fn note_removed(
     object: &mut HeadObject,
     wanted: &manifest::ServiceManifest,
@@ -508,26 +377,6 @@
     }
 }
 
-fn next_resting(
-    wanted: &manifest::ServiceManifest,
-    current: &manifest::ServiceManifest,
-    resting: &[RestingAddress],
-    now: ids::UnixMillis,
-) -> Vec<RestingAddress> {
-    let kept: collections::HashSet<_> =
-        wanted.services.iter().flat_map(manifest::ServiceSpec::addresses).collect();
-    let until = now.plus(config::ADDRESS_REST_MS);
-    let mut next: Vec<_> = resting.iter().filter(|rest| rest.until > now).cloned().collect();
-    for spec in &current.services {
-        let gone = spec.addresses().filter(|address| !kept.contains(address));
-        next.extend(gone.map(|address| {
-            let service = spec.name.clone();
-            RestingAddress { address, service, until }
-        }));
-    }
-    next
-}
-
 fn random_secret() -> [u8; 32] {
     let mut secret = [0; 32];
     rand::rng().fill_bytes(&mut secret);
--- a/crates/node/tests/release_race.rs
+++ b/crates/node/tests/release_race.rs
@@ -11,6 +11,7 @@
 use rosemaryusher_core::manifest;
 use rosemaryusher_node::platform;
 use rosemaryusher_node::release;
+use rosemaryusher_node::release::parts;
 
 /// A store in memory that fails as it is told to.
 #[derive(Default)]
@@ -159,7 +160,7 @@
 fn load(
     store: &FakeStore,
     head: &platform::StoredObject,
-    cache: &mut release::PartCache,
+    cache: &mut parts::PartCache,
 ) -> config::ConfigDelta {
     smol::block_on(release::load(store, head, cache)).unwrap()
 }
@@ -273,7 +274,7 @@
     };
     submit(&store, &rotate);
     let head = store.objects.borrow()[release::HEAD_KEY].clone();
-    let delta = load(&store, &head, &mut release::PartCache::default());
+    let delta = load(&store, &head, &mut parts::PartCache::default());
     let ticket = rosemaryusher_core::ticket::RequestTicket {
         home: ids::InstanceId(1),
         service: ids::ServiceId::of_name("taller"),
@@ -314,7 +315,7 @@
     let names: Vec<_> = (0..40).map(|n| (format!("s{n}"), format!("10.0.0.{n}:1"))).collect();
     let mut services: Vec<_> = names.iter().map(|(n, a)| (n.as_str(), a.as_str(), 4)).collect();
     submit(&store, &draft("ana", &services));
-    let mut cache = release::PartCache::default();
+    let mut cache = parts::PartCache::default();
     let head = |store: &FakeStore| store.objects.borrow()[release::HEAD_KEY].clone();
     load(&store, &head(&store), &mut cache);
     services[7].2 = 5;
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -42,8 +42,8 @@
 fetched-view-repeated	crates/core/src/membership/prober.rs	s/self\.news\.retain\(\|member, _\| \*member == own \|\| news\.contains_key\(member\)\);//	-p rosemaryusher-core --test membership_merge fetched_view
 removal-not-remembered	crates/core/src/config.rs	s/self\.services\.remove\(&service\);\n\s+self\.removed\.insert\(service, removed\);/if self.services.remove(\&service).is_some() { self.removed.insert(service, removed); }/	-p rosemaryusher-core --test config_forward removal_skipped
 gap-taken	crates/core/src/config.rs	s/_ if delta\.since > self\.generation => return DeltaOutcome::Gap,//	-p rosemaryusher-core --test config_forward delta_gap
-lost-answer-is-conflict	crates/node/src/release.rs	s/if let Some\(generation\) = found\.generation_of\(write_id\)/if let Some(generation) = found.generation_of(write_id).filter(|_| false)/	-p rosemaryusher-node --test release_race lost
-address-moves-at-once	crates/node/src/release.rs	s/faults\.extend\(resting_faults\(.*?\)\);//	-p rosemaryusher-node --test release_race address_moved
+lost-answer-is-conflict	crates/node/src/release/mod.rs	s/if let Some\(generation\) = found\.generation_of\(write_id\)/if let Some(generation) = found.generation_of(write_id).filter(|_| false)/	-p rosemaryusher-node --test release_race lost
+address-moves-at-once	crates/node/src/release/mod.rs	s/faults\.extend\(addresses::resting_faults\(.*?\)\);//	-p rosemaryusher-node --test release_race address_moved
 address-owner-unchecked	crates/core/src/agent/mod.rs	s/_ if is_moved && is_newer => .*?\n//	-p rosemaryusher-core --test agent_drain moved_address
 fetching-not-noted	crates/core/src/agent/answers.rs	s/_ => drop\(self\.bodies\.fetch\(&key, wanted, now\)\),/_ => {}/	-p rosemaryusher-core --test agent_drain answer_fetched
 upload-not-counted	crates/core/src/agent/mod.rs	s/requests && self\.uploads == 0/requests/	-p rosemaryusher-core --test agent_drain upload_goes_on
