Of hosts of equal load take any, not the first by address

Cause: a draw of three keeps the first agents of the list at their places, and the first of equals was taken. Where all are full, every balancer sent what had to wait to the same host.

Ruled out: near before far, which chooses between data centres only; few draws, which reach every host when equals are taken at random.

Change: of agents that cost the same, any.

--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -226,21 +226,34 @@
                 serves && self.is_heard(known, now) && !tried.contains(address)
             })
         };
-        let cheapest =
-            |a: &(_, &KnownAgent), b: &(_, &KnownAgent)| self.cost(a.1).total_cmp(&self.cost(b.1));
         let drawn_agents = self.policy.placement.drawn_agents as usize;
         let near = candidates().filter(|(_, known)| self.is_near(known));
         let far = candidates().filter(|(_, known)| !self.is_near(known));
         let mut drawn = near.sample(random, drawn_agents);
         drawn.extend(far.sample(random, drawn_agents));
-        let best = drawn.into_iter().min_by(cheapest)?;
+        let best = self.emptiest(drawn.into_iter(), random)?;
         let best = match has_room(best.1) {
             true => best,
-            false => candidates().min_by(cheapest)?,
+            false => self.emptiest(candidates(), random)?,
         };
         Some(choice(best.0, best.1, now))
     }
 
+    /// The agent that costs least; of equals any.
+    ///
+    /// Neither the draw nor the list has its agents in random order: with the first of equals, one of
+    /// nine idle hosts got a third of all streams and two got none, and every balancer sent what had to
+    /// wait to the same host.
+    fn emptiest<'a>(
+        &self,
+        agents: impl Iterator<Item = (&'a net::SocketAddrV4, &'a KnownAgent)>,
+        random: &mut impl rand::Rng,
+    ) -> Option<(&'a net::SocketAddrV4, &'a KnownAgent)> {
+        let ranked = agents.map(|agent| (self.cost(agent.1), random.next_u32(), agent));
+        let order = |a: &(f64, u32, _), b: &(f64, u32, _)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
+        ranked.min_by(order).map(|(_, _, agent)| agent)
+    }
+
     fn is_near(&self, known: &KnownAgent) -> bool {
         known.is_in(self.data_centre)
     }
--- a/crates/core/tests/host_reborn.rs
+++ b/crates/core/tests/host_reborn.rs
@@ -122,6 +122,25 @@
     assert!(world.view(next).first.is_some());
 }
 
+/// An agent is restarted beside a reborn backend server and has heard it; it knows nothing of the
+/// former run. A report of that one, held up on the way, is late word by its birth alone: the stream
+/// that the living run holds goes on.
+#[test]
+fn late_word_unheard() {
+    let mut world = world::StreamWorld::with_hosts(1, 16);
+    let late = world.report_of(1);
+    world.rebear_host(1);
+    world.start_agent(1, "wallet");
+    world.advance(2 * world::HOST_REPORT_MS);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(3 * world::HOST_REPORT_MS);
+    world.deliver_report(1, late);
+    world.send(key);
+    world.advance(world::HOST_REPORT_MS);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+}
+
 /// An agent is restarted beside a backend server that holds a stream. The first that it hears is a
 /// report of the former run, held up on the way, and then the living one. It has seen no run end:
 /// the stream is neither reset nor denied.
--- a/crates/core/tests/stream_members.rs
+++ b/crates/core/tests/stream_members.rs
@@ -3,6 +3,7 @@
 mod stream_world;
 
 use rosemaryusher_core::stream;
+
 use stream_world as world;
 
 /// More balancers than the calm world's two.
@@ -78,3 +79,14 @@
         assert_ne!(world.placed(key), 2);
     }
 }
+
+/// Another writer's entry has an address and says of nobody's service whose it is. Taken for a
+/// balancer's, every process would go on telling that address.
+#[test]
+fn entry_of_nobody() {
+    let read = |text| serde_json::from_str::<stream::AnnouncedMember>(text).ok();
+    assert!(read(r#"{"address":"10.0.0.9:7000"}"#).is_none());
+    assert!(read(r#"{"address":"10.0.0.9:7000","service":"x"}"#).is_none());
+    let balancer = read(r#"{"address":"10.0.0.9:7000","service":null}"#).expect("a balancer's");
+    assert_eq!(balancer.service, None);
+}
