Count messages and bytes between processes by what they are for

Cause: what fills links and processors at size (searches, returns, reports) could only be guessed at. Change: a tally in the packet thread, added to the metrics once a second since a look-up costs as much as a message; the late word of a run that an agent never heard gets a test that its mutant fails.

--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -158,3 +158,80 @@
     /// Whom a balancer has heard lately.
     Heard(HeardMembers),
 }
+
+/// What a message is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageKind {
+    /// An opening on its way to an agent.
+    Opening,
+    /// A segment on its way to the agent that holds its stream.
+    Segment,
+    /// A segment on its way to agents that may hold its stream.
+    Search,
+    /// A segment that an agent gives back.
+    Return,
+    /// An agent says that it holds a stream.
+    Held,
+    /// A balancer asks who holds a stream.
+    Find,
+    /// An agent says that it does not hold a stream.
+    Absent,
+    /// An agent's report.
+    AgentReport,
+    /// A balancer's report.
+    BalancerReport,
+    /// Whom a balancer has heard lately.
+    Members,
+}
+
+impl MessageKind {
+    /// Every kind, in order.
+    pub const ALL: [MessageKind; 10] = [
+        MessageKind::Opening,
+        MessageKind::Segment,
+        MessageKind::Search,
+        MessageKind::Return,
+        MessageKind::Held,
+        MessageKind::Find,
+        MessageKind::Absent,
+        MessageKind::AgentReport,
+        MessageKind::BalancerReport,
+        MessageKind::Members,
+    ];
+
+    /// The kind as metrics name it.
+    pub fn label(self) -> &'static str {
+        match self {
+            MessageKind::Opening => "opening",
+            MessageKind::Segment => "segment",
+            MessageKind::Search => "search",
+            MessageKind::Return => "return",
+            MessageKind::Held => "held",
+            MessageKind::Find => "find",
+            MessageKind::Absent => "absent",
+            MessageKind::AgentReport => "agent_report",
+            MessageKind::BalancerReport => "balancer_report",
+            MessageKind::Members => "members",
+        }
+    }
+}
+
+impl StreamMessage {
+    /// What the message is for.
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            StreamMessage::Carry(carry) => match carry.kind {
+                CarryKind::Open | CarryKind::OpenQueued => MessageKind::Opening,
+                CarryKind::Held => MessageKind::Segment,
+                CarryKind::Probe => MessageKind::Search,
+            },
+            StreamMessage::Return(_) => MessageKind::Return,
+            StreamMessage::Held { .. } => MessageKind::Held,
+            StreamMessage::Find { .. } => MessageKind::Find,
+            StreamMessage::Absent { .. } => MessageKind::Absent,
+            StreamMessage::Agent(_) => MessageKind::AgentReport,
+            StreamMessage::Balancer(_) => MessageKind::BalancerReport,
+            StreamMessage::Heard(_) => MessageKind::Members,
+        }
+    }
+}
--- a/crates/core/tests/host_reborn.rs
+++ b/crates/core/tests/host_reborn.rs
@@ -134,11 +134,13 @@
     world.advance(2 * world::HOST_REPORT_MS);
     let key = world::key(1, 0);
     world.open(key, 0);
+    world.advance(10);
+    world.send(key);
     world.advance(3 * world::HOST_REPORT_MS);
     world.deliver_report(1, late);
     world.send(key);
     world.advance(world::HOST_REPORT_MS);
-    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+    assert_eq!((world.view(key).answers, world.view(key).resets), (2, 0));
 }
 
 /// An agent is restarted beside a backend server that holds a stream. The first that it hears is a
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -29,6 +29,7 @@
 use crate::stream::packets;
 use crate::stream::role;
 use crate::stream::status;
+use crate::stream::tally;
 use crate::threads;
 
 /// How long the network may go on sending to a process that has said it is not ready, in
@@ -112,6 +113,7 @@
         probes,
         status: status.clone(),
         journal: journal::StreamJournal::new(clock.now()),
+        tally: tally::MessageTally::default(),
     };
     threads::spawn("packets", move || smol::block_on(packets.run()))?;
     logs::event(&serde_json::json!({
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -10,6 +10,7 @@
 //! | `control` | the thread that follows the configuration and answers calls |
 //! | `routes` | calls of other processes, of the backend server and of operators |
 //! | `journal` | log lines and metrics of decisions, bounded |
+//! | `tally` | counts of messages by what they are for |
 //! | [`daemon`] | how a process starts, reloads and shuts down |
 
 mod backend;
@@ -23,3 +24,4 @@
 mod routes;
 pub mod settings;
 mod status;
+mod tally;
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -26,6 +26,7 @@
 use crate::stream::journal;
 use crate::stream::role;
 use crate::stream::status;
+use crate::stream::tally;
 
 /// How often the engine is told that time has passed, in milliseconds.
 const TICK_MS: u64 = 20;
@@ -77,6 +78,7 @@
     pub(crate) probes: channel::Sender<()>,
     pub(crate) status: sync::Arc<status::StreamStatus>,
     pub(crate) journal: journal::StreamJournal,
+    pub(crate) tally: tally::MessageTally,
 }
 
 enum WakeReason {
@@ -103,6 +105,7 @@
                 self.engine.handle(now, stream::StreamEvent::Tick, &mut actions);
                 self.carry_out(now, &mut actions);
                 self.publish();
+                self.tally.add_due(now);
             }
             if is_drained {
                 match self.wait().await {
@@ -196,6 +199,7 @@
                     continue;
                 }
             };
+            self.tally.note(tally::MessageWay::Taken, message.kind(), length);
             let head = match &message {
                 message::StreamMessage::Carry(carry) => self.codec.decode(&carry.segment),
                 message::StreamMessage::Return(returned) => self.codec.decode(&returned.segment),
@@ -258,7 +262,10 @@
         for action in actions.drain(..) {
             match action {
                 stream::StreamAction::Tell(to, message) => match packet::encode(&message) {
-                    Ok(bytes) => send(&self.messages, &bytes, to),
+                    Ok(bytes) => {
+                        self.tally.note(tally::MessageWay::Sent, message.kind(), bytes.len());
+                        send(&self.messages, &bytes, to);
+                    }
                     Err(error) => log::error!("cannot encode a message: {error}"),
                 },
                 stream::StreamAction::HandOver(marks, mut bytes) => {
