Open two circles between modules of the processes' edges; one type for the mean of the latest samples

Change: hub.rs (what the duties share), announce.rs (announcements and the list), pauses.rs, panics.rs; stream::mean::LatestMean. No decision changes, but the list of members is read up to 16,384 entries, since one that is left out is missing from every search.

--- a/crates/balancer/src/daemon.rs
+++ b/crates/balancer/src/daemon.rs
@@ -13,6 +13,7 @@
 use rosemaryusher_node::identity;
 use rosemaryusher_node::logs;
 use rosemaryusher_node::meters;
+use rosemaryusher_node::panics;
 use rosemaryusher_node::rings;
 use rosemaryusher_node::shutdown;
 use rosemaryusher_node::threads;
@@ -29,7 +30,7 @@
 /// Fails if an address cannot be listened at or a thread cannot be started.
 pub(crate) fn run(settings: settings::BalancerSettings) -> eyre::Result<()> {
     logs::start(&settings.node.logs, &settings.node.name)?;
-    threads::stop_on_panic();
+    panics::stop_on_panic();
     let metrics = meters::start()?;
     let clock = clock::ProcessClock::start();
     let instance = ids::InstanceId(rand::rng().next_u64() | 1);
--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -161,10 +161,11 @@
     fn requests_on_the_way(&self) -> u32 {
         let slots = self.host.slots();
         let percent = self.config.policy.admission.on_the_way_percent;
-        if self.pace_ms <= 0.0 {
+        let pace_ms = self.pace_ms.get().unwrap_or_default();
+        if pace_ms <= 0.0 {
             return 0;
         }
-        let gap = self.held.request_after_ms() / self.pace_ms;
+        let gap = self.held.request_after_ms() / pace_ms;
         let share = gap * f64::from(percent) / 100.0;
         ((f64::from(slots) * share + ROUND_UP).floor() as u32).min(slots)
     }
--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -11,10 +11,6 @@
 use crate::stream::report;
 use crate::stream::segment;
 
-/// How much one answer moves the mean of the latest: some eight count, a tenth of a second on a host
-/// with five slots.
-const PACE_SHARE: f64 = 0.125;
-
 impl agent::StreamAgent {
     pub(super) fn hear_host(
         &mut self,
@@ -187,7 +183,7 @@
         self.silent_until = ids::UnixMillis(0);
         let news = self.held.hear_host(key, &segment.head, now);
         if let Some(answered_ms) = news.answered_ms {
-            self.note_pace(answered_ms);
+            self.pace_ms.note(answered_ms as f64);
             self.trust.note(false);
         }
         if news.is_failure {
@@ -216,15 +212,6 @@
         actions.push(stream::StreamAction::Answer(*key.caller.ip(), segment.bytes.to_vec()));
     }
 
-    /// Takes in how long one answer took.
-    fn note_pace(&mut self, answered_ms: u64) {
-        let answered_ms = answered_ms as f64;
-        self.pace_ms = match self.pace_ms > 0.0 {
-            true => self.pace_ms + PACE_SHARE * (answered_ms - self.pace_ms),
-            false => answered_ms,
-        };
-    }
-
     /// Has openings placed elsewhere that the backend server leaves unanswered.
     ///
     /// The caller repeats its opening only after 200 ms, and its balancer would send that one here
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -18,6 +18,7 @@
 use crate::stream;
 use crate::stream::held;
 use crate::stream::host;
+use crate::stream::mean;
 use crate::stream::message;
 use crate::stream::note;
 use crate::stream::pause;
@@ -69,8 +70,8 @@
     held: held::HeldStreams,
     waiting: waiting::WaitingRoom,
     trust: trust::HostTrust,
-    /// The mean of what the backend server has taken for an answer lately, in milliseconds.
-    pace_ms: f64,
+    /// How long the backend server takes for an answer, in milliseconds.
+    pace_ms: mean::LatestMean,
     pause: pause::PauseGuard,
     balancers: collections::HashMap<net::SocketAddrV4, KnownBalancer>,
     started: ids::UnixMillis,
@@ -94,7 +95,7 @@
             held: held::HeldStreams::default(),
             waiting: waiting::WaitingRoom::default(),
             trust: trust::HostTrust::default(),
-            pace_ms: 0.0,
+            pace_ms: mean::LatestMean::default(),
             pause: pause::PauseGuard::new(&config.policy.recovery, now),
             balancers: collections::HashMap::new(),
             started: now,
@@ -259,7 +260,7 @@
 
     /// How long the backend server takes for an answer, as observed, in milliseconds.
     fn work_ms(&self) -> u64 {
-        self.pace_ms as u64
+        self.pace_ms.get().unwrap_or_default() as u64
     }
 
     fn limit_of_streams(&self) -> u32 {
--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -9,6 +9,7 @@
 use std::net;
 
 use crate::ids;
+use crate::stream::mean;
 use crate::stream::segment;
 
 /// How long an accepted stream counts as work before its first request comes, in milliseconds, as
@@ -20,14 +21,12 @@
 /// A caller that has given up never sends its request, and a slot is kept free for it: with 400 ms
 /// for each of these, hosts that had just restarted answered 490 requests a second with room for
 /// 850 (lines of one replayed outage).
-const EXPECT_RANGE_MS: (f64, f64) = (20.0, 400.0);
+const LEAST_EXPECT_MS: f64 = 20.0;
+const MOST_EXPECT_MS: f64 = 400.0;
 
 /// What counts as late against the mean time that callers take for their first request.
 const EXPECT_SPREAD: f64 = 4.0;
 
-/// How much one caller moves that mean.
-const EXPECT_SHARE: f64 = 0.125;
-
 /// How long a request counts as work without an answer, in milliseconds.
 ///
 /// Callers' deadlines are a few seconds; a backend server that loses a request must not look busy
@@ -103,8 +102,8 @@
 /// The streams of one backend server.
 #[derive(Debug, Default)]
 pub struct HeldStreams {
-    /// The mean time from a stream's acceptance to its first request, once one has come.
-    request_after_ms: Option<f64>,
+    /// How long callers take from a stream's acceptance to its first request.
+    request_after_ms: mean::LatestMean,
     streams: collections::HashMap<segment::StreamKey, HeldStream, foldhash::fast::FixedState>,
     busy: u32,
     open: u32,
@@ -181,8 +180,7 @@
         let elapsed_ms = now.since(stream.since) as f64;
         self.busy = change_phase(stream, next, self.busy, now);
         if is_first {
-            let mean = self.request_after_ms.unwrap_or(elapsed_ms);
-            self.request_after_ms = Some(mean + EXPECT_SHARE * (elapsed_ms - mean));
+            self.request_after_ms.note(elapsed_ms);
         }
     }
 
@@ -357,14 +355,13 @@
 
     /// How long callers take for the first request on a stream, as observed, in milliseconds.
     pub fn request_after_ms(&self) -> f64 {
-        self.request_after_ms.unwrap_or_default()
+        self.request_after_ms.get().unwrap_or_default()
     }
 
     /// How long an accepted stream counts as work before its first request comes.
     fn expect_ms(&self) -> u64 {
-        let (least, most) = EXPECT_RANGE_MS;
-        let timed = self.request_after_ms.map(|mean| (EXPECT_SPREAD * mean).clamp(least, most));
-        timed.unwrap_or(EXPECT_MS) as u64
+        let spread = self.request_after_ms.get().map(|mean| EXPECT_SPREAD * mean);
+        spread.map_or(EXPECT_MS, |spread| spread.clamp(LEAST_EXPECT_MS, MOST_EXPECT_MS)) as u64
     }
 
     /// How many requests run or wait, openings and first requests on the way included.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -13,6 +13,7 @@
 //! | [`held`] | the streams that one backend server holds, and the work in progress there |
 //! | [`agent`] | what one backend server is handed, and what it gives back |
 //! | [`board`] | what one balancer knows of every agent |
+//! | [`mean`] | the mean of the latest samples of something that changes |
 //! | [`note`] | what a decision tells the log |
 //! | [`owners`] | which agent one balancer sends each stream to |
 //! | [`parked`] | openings that wait until an agent is heard of |
@@ -29,6 +30,7 @@
 pub mod held;
 pub mod host;
 pub mod lookup;
+pub mod mean;
 pub mod message;
 pub mod note;
 pub mod owners;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod identity;
 pub mod logs;
 pub mod meters;
+pub mod panics;
 pub mod platform;
 pub mod release;
 pub mod rings;
--- /dev/null
+++ b/crates/node/src/stream/announce.rs
@@ -0,0 +1,130 @@
+//! A process's announcement on the platform, and the list of those of the others.
+
+use std::rc;
+
+use rosemaryusher_core::stream;
+
+use crate::foreign;
+use crate::platform;
+use crate::stream::hub;
+use crate::stream::packets;
+use crate::stream::pauses;
+use crate::stream::status;
+
+/// What the keys of announcements start with.
+const MEMBER_PREFIX: &str = "rosemaryusher-members/";
+
+/// The most announcements that are read: one left out would be missing from every search for a
+/// stream. The users expect 14,000 balancers.
+const MEMBER_LIMIT: usize = 16_384;
+
+/// Between two looks at the platform by a process that hears no balancer, in milliseconds.
+const LONELY_MS: u64 = 1_000;
+
+/// Announces this process, then reads who else is there: until a balancer is heard, and again
+/// whenever none is.
+///
+/// In this order, of two processes that start together one sees the other.
+pub(crate) async fn meet_members(hub: rc::Rc<hub::StreamHub>) {
+    let mut pause_ms = pauses::FIRST_MS;
+    let mut has_read = false;
+    loop {
+        if has_read && status::holds(&hub.status.hears_balancer) {
+            pause_ms = pauses::FIRST_MS;
+            pauses::sleep_ms(LONELY_MS).await;
+            continue;
+        }
+        match announce_and_read(&hub).await {
+            Ok(members) => {
+                hub.note_platform(Ok(())).await;
+                has_read = true;
+                hub.tell(packets::StreamInput::Members(members)).await;
+                // Who has been told of answers within a round trip.
+                pauses::sleep_ms(LONELY_MS).await;
+            }
+            Err(error) => {
+                hub.note_platform(Err(error)).await;
+                pauses::pause(&mut pause_ms).await;
+            }
+        }
+    }
+}
+
+async fn announce_and_read(
+    hub: &hub::StreamHub,
+) -> Result<Vec<stream::AnnouncedMember>, platform::StoreError> {
+    let store = hub.link.borrow().store.clone();
+    let must_announce = hub.announced.get().is_none() && !hub.is_leaving.get();
+    if must_announce {
+        announce(hub, platform::WriteCondition::Absent).await?;
+    }
+    let mut objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
+    if must_announce && hub.announced.get().is_none() {
+        let key = announcement_key(hub);
+        let left_behind = objects.iter().find(|object| object.key == key);
+        match left_behind.filter(|object| is_own(hub, object)) {
+            Some(object) => hub.announced.set(Some(object.version)),
+            None => {
+                announce(hub, platform::WriteCondition::Always).await?;
+                objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
+            }
+        }
+    }
+    let members = objects.iter().filter_map(read_member);
+    Ok(members.filter(|member| member.address != hub.own).collect())
+}
+
+/// Writes this process's announcement; that one is there already is no error.
+///
+/// A process that starts again finds the one that it left behind: the write that finds it and the
+/// list that shows it are two calls, as many as a first start takes.
+async fn announce(
+    hub: &hub::StreamHub,
+    condition: platform::WriteCondition,
+) -> Result<(), platform::StoreError> {
+    let store = hub.link.borrow().store.clone();
+    let own = stream::AnnouncedMember { address: hub.own, service: hub.service };
+    let value = serde_json::to_string(&own).map_err(|_| platform::StoreError::Unavailable)?;
+    match store.put(&announcement_key(hub), value, condition).await {
+        Ok(version) => hub.announced.set(Some(version)),
+        Err(platform::StoreError::Conflict) => {}
+        Err(error) => return Err(error),
+    }
+    Ok(())
+}
+
+/// Whether an announcement says of this process what it would say itself.
+fn is_own(hub: &hub::StreamHub, object: &platform::StoredObject) -> bool {
+    let own = stream::AnnouncedMember { address: hub.own, service: hub.service };
+    read_member(object).is_some_and(|member| member == own)
+}
+
+fn read_member(object: &platform::StoredObject) -> Option<stream::AnnouncedMember> {
+    match serde_json::from_str(&object.value) {
+        Ok(member) => Some(member),
+        Err(error) => {
+            foreign::note(foreign::ForeignPlace::Announcement, &object.key, error);
+            None
+        }
+    }
+}
+
+/// Takes back this process's announcement.
+///
+/// One that stays behind costs reports into nothing, and searches that wait for its answer. An
+/// agent whose backend server lives comes back, and its streams must be asked for meanwhile.
+pub(crate) async fn withdraw(hub: &hub::StreamHub) {
+    hub.is_leaving.set(true);
+    if status::holds(&hub.status.holds_streams) {
+        return;
+    }
+    let Some(version) = hub.announced.take() else { return };
+    let store = hub.link.borrow().store.clone();
+    if let Err(error) = store.remove(&announcement_key(hub), version).await {
+        log::info!("the announcement of this process stays behind: {error}");
+    }
+}
+
+fn announcement_key(hub: &hub::StreamHub) -> String {
+    format!("{MEMBER_PREFIX}{}", hub.settings.borrow().name)
+}
--- a/crates/node/src/stream/backend.rs
+++ b/crates/node/src/stream/backend.rs
@@ -11,7 +11,7 @@
 use smol::channel;
 use smol::future::FutureExt as _;
 
-use crate::stream::control;
+use crate::stream::hub;
 use crate::stream::packets;
 
 /// How long a connection may take: the machine is the same one, and a busy one takes longer.
@@ -21,14 +21,14 @@
 const AGAIN: time::Duration = time::Duration::from_millis(20);
 
 /// Looks whenever it is asked to.
-pub(crate) async fn watch(hub: rc::Rc<control::StreamHub>, probes: channel::Receiver<()>) {
+pub(crate) async fn watch(hub: rc::Rc<hub::StreamHub>, probes: channel::Receiver<()>) {
     while probes.recv().await.is_ok() {
         look(&hub).await;
     }
 }
 
 /// Looks once, and tells the thread that decides if the backend server is not there.
-pub(crate) async fn look(hub: &control::StreamHub) {
+pub(crate) async fn look(hub: &hub::StreamHub) {
     let Some(address) = hub.streams().backend_address else { return };
     if !is_refused(address).await {
         return;
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -20,11 +20,14 @@
 use crate::clock;
 use crate::logs;
 use crate::meters;
+use crate::panics;
 use crate::rings;
 use crate::settings;
+use crate::stream::announce;
 use crate::stream::backend;
 use crate::stream::control;
 use crate::stream::edge;
+use crate::stream::hub;
 use crate::stream::journal;
 use crate::stream::packets;
 use crate::stream::role;
@@ -68,7 +71,7 @@
     let wanted = [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
     let signals = async_signal::Signals::new(wanted)?;
     logs::start(&parts.settings.logs, &parts.settings.name)?;
-    threads::stop_on_panic();
+    panics::stop_on_panic();
     let metrics = meters::start()?;
     let clock = clock::ProcessClock::start();
     let instance = ids::InstanceId(rand::rng().next_u64() | 1);
@@ -130,7 +133,7 @@
     let Some(platform) = parts.settings.platform else {
         eyre::bail!("node.platform: is missing; give the platform's address");
     };
-    let hub = rc::Rc::new(control::StreamHub {
+    let hub = rc::Rc::new(hub::StreamHub {
         own,
         listen_address,
         link: cell::RefCell::new((parts.adapter.open_platform)(platform, timeout)),
@@ -166,7 +169,7 @@
 
 /// Handles signals until one asks the process to shut down.
 async fn serve_signals(
-    hub: &control::StreamHub,
+    hub: &hub::StreamHub,
     mut signals: async_signal::Signals,
 ) -> eyre::Result<()> {
     while let Some(signal) = signals.next().await {
@@ -182,13 +185,13 @@
 ///
 /// Nothing has to be handed over: any balancer finds a stream's owner, and a backend server keeps
 /// its streams while its agent is away.
-async fn leave(hub: &control::StreamHub) {
+async fn leave(hub: &hub::StreamHub) {
     logs::event(&serde_json::json!({ "event": "leaving" }));
     backend::look(hub).await;
     hub.tell(packets::StreamInput::Leave).await;
     // By then the other thread has said whether the backend server may hold streams.
     smol::Timer::after(time::Duration::from_millis(LEAVE_POLL_MS)).await;
-    control::withdraw(hub).await;
+    announce::withdraw(hub).await;
     let began = time::Instant::now();
     let grace = time::Duration::from_secs(hub.streams().grace_s);
     let limit = grace.saturating_sub(time::Duration::from_millis(GRACE_MARGIN_MS));
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -8,18 +8,24 @@
 //! | [`role`] | the engine: a balancer's or an agent's |
 //! | `packets` | the thread that reads, decides and writes segments and messages |
 //! | `control` | the thread that follows the configuration and answers calls |
+//! | `announce` | a process's announcement on the platform, and the list of those of the others |
+//! | `hub` | what the duties of that thread share |
+//! | `pauses` | pauses between calls to the platform |
 //! | `routes` | calls of other processes, of the backend server and of operators |
 //! | `journal` | log lines and metrics of decisions, bounded |
 //! | `tally` | counts of messages by what they are for |
 //! | [`daemon`] | how a process starts, reloads and shuts down |
 
+mod announce;
 mod backend;
 pub mod bodies;
 mod control;
 pub mod daemon;
 pub mod edge;
+mod hub;
 mod journal;
 mod packets;
+mod pauses;
 pub mod role;
 mod routes;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/stream/pauses.rs
@@ -0,0 +1,26 @@
+//! Pauses between calls to the platform.
+
+use std::time;
+
+use rand::RngExt as _;
+
+/// The first and the longest pause after a call that failed, in milliseconds: the store's calls
+/// are few and paid for, and a change must be in force within seconds of its return.
+pub(crate) const FIRST_MS: u64 = 100;
+const LONGEST_MS: u64 = 800;
+
+/// Waits, for longer each time.
+pub(crate) async fn pause(pause_ms: &mut u64) {
+    sleep_ms(jittered(*pause_ms)).await;
+    *pause_ms = (*pause_ms * 2).min(LONGEST_MS);
+}
+
+/// Spreads a pause over half to one and a half times its length, so that processes that failed
+/// together don't come back together.
+pub(crate) fn jittered(millis: u64) -> u64 {
+    millis / 2 + rand::rng().random_range(0..millis.max(1))
+}
+
+pub(crate) async fn sleep_ms(millis: u64) {
+    smol::Timer::after(time::Duration::from_millis(millis)).await;
+}
--- a/crates/node/src/stream/routes.rs
+++ b/crates/node/src/stream/routes.rs
@@ -8,13 +8,13 @@
 use crate::foreign;
 use crate::http;
 use crate::stream::bodies;
-use crate::stream::control;
+use crate::stream::hub;
 use crate::stream::packets;
 use crate::stream::status;
 
 /// Answers one call.
 pub(crate) async fn handle(
-    hub: rc::Rc<control::StreamHub>,
+    hub: rc::Rc<hub::StreamHub>,
     request: http::HttpRequest,
 ) -> http::HttpReply {
     let backend = request.path.strip_prefix("/backend/").and_then(|rest| rest.split_once('/'));
@@ -32,7 +32,7 @@
 }
 
 async fn take_report(
-    hub: &control::StreamHub,
+    hub: &hub::StreamHub,
     id: &str,
     request: &http::HttpRequest,
 ) -> http::HttpReply {
@@ -45,7 +45,7 @@
 }
 
 async fn take_leave(
-    hub: &control::StreamHub,
+    hub: &hub::StreamHub,
     id: &str,
     request: &http::HttpRequest,
 ) -> http::HttpReply {
@@ -61,17 +61,17 @@
     http::HttpReply::new(400, format!("not taken: {problem}\n"))
 }
 
-fn give_readiness(hub: &control::StreamHub) -> http::HttpReply {
+fn give_readiness(hub: &hub::StreamHub) -> http::HttpReply {
     let is_ready = status::holds(&hub.status.is_ready) && !hub.is_leaving.get();
     http::HttpReply::new(if is_ready { 200 } else { 503 }, "")
 }
 
-fn give_config(hub: &control::StreamHub, request: &http::HttpRequest) -> http::HttpReply {
+fn give_config(hub: &hub::StreamHub, request: &http::HttpRequest) -> http::HttpReply {
     let since = request.parameter("since").and_then(|text| text.parse().ok()).unwrap_or(0);
     http::HttpReply::packed(&hub.state.borrow().delta_since(ids::ConfigGeneration(since)))
 }
 
-async fn give_state(hub: &control::StreamHub) -> http::HttpReply {
+async fn give_state(hub: &hub::StreamHub) -> http::HttpReply {
     let (sender, receiver) = channel::bounded(1);
     hub.tell(packets::StreamInput::Dump(sender)).await;
     let decisions = receiver.recv().await.unwrap_or_default();
