Balancers tell of themselves less often the more of them there are

Ruled out: a weaker signal at small sizes, where a watch that is silent and a lost report would add up to more than the operators' 3 s; at four balancers nothing changes.

Change: the time between two reports of one balancer grows by 50 ms for each balancer that it hears, from 200 ms up to 1 s towards agents (which learn by them whom to tell and that a configuration is newer, from whichever balancer) and 0.4 s towards balancers (three of which watch, and need a successor soon). What changes is told at once, as before.

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -30,8 +30,13 @@
 /// How long a balancer that is not heard still gets reports, in milliseconds.
 const BALANCER_KEPT_MS: u64 = 30_000;
 
-/// A balancer counts as heard for so long after its last report, in milliseconds.
-const BALANCER_HEARD_MS: u64 = 2_000;
+/// A balancer counts as heard for so long after its last report, in milliseconds: in a large fleet
+/// each reports once a second.
+const BALANCER_HEARD_MS: u64 = 3_500;
+
+/// A balancer that leaves still gets reports for so long after its last one, in milliseconds: the
+/// network goes on sending to it for a second.
+const LEAVING_KEPT_MS: u64 = 2_000;
 
 #[derive(Clone, Copy, Debug)]
 struct KnownBalancer {
@@ -57,7 +62,7 @@
 
     /// How long it is told of after its last report.
     fn kept_ms(&self) -> u64 {
-        if self.is_leaving { BALANCER_HEARD_MS } else { BALANCER_KEPT_MS }
+        if self.is_leaving { LEAVING_KEPT_MS } else { BALANCER_KEPT_MS }
     }
 }
 
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -23,11 +23,26 @@
 use crate::stream::pause;
 use crate::stream::segment;
 
-/// How often every agent and balancer hears of this one, in milliseconds.
-///
-/// A newer configuration is noticed by it, and a new balancer is: both have seconds.
+/// How often a balancer looks whom to tell of itself, and the shortest time between two of its reports
+/// to the same process, in milliseconds.
 const REPORT_MS: u64 = 200;
 
+/// What each balancer of the fleet adds to the time between two reports of one, in milliseconds: a
+/// process hears twenty of them a second.
+///
+/// A newer configuration is noticed by them, whichever balancer they are of, and who is there; both have
+/// seconds. At 91 balancers and 204 agents with five a second from each, they were 134,000 of 220,000
+/// messages a second.
+const REPORT_SHARE_MS: u64 = 50;
+
+/// The longest time between two reports to an agent, in milliseconds: it has others to hear, and only
+/// learns by them whom to tell of its load.
+const AGENT_REPORT_MS: u64 = 1_000;
+
+/// The longest time between two reports to another balancer, in milliseconds: of those that are heard
+/// the first three watch the platform, and one that is lost must soon have a successor.
+const PEER_REPORT_MS: u64 = 400;
+
 #[derive(Clone, Copy, Debug)]
 struct PeerBalancer {
     heard: ids::UnixMillis,
@@ -50,7 +65,10 @@
     random: rngs::SmallRng,
     /// Whether the list of announced processes has been read in this run.
     knows_members: bool,
+    /// When it last looked whom to tell of itself.
     reported: ids::UnixMillis,
+    told_agents: ids::UnixMillis,
+    told_peers: ids::UnixMillis,
     reaches_platform: bool,
     is_leaving: bool,
 }
@@ -69,6 +87,8 @@
             random: rngs::SmallRng::seed_from_u64(config.seed),
             knows_members: false,
             reported: ids::UnixMillis(0),
+            told_agents: ids::UnixMillis(0),
+            told_peers: ids::UnixMillis(0),
             reaches_platform: false,
             is_leaving: false,
             config,
@@ -172,8 +192,9 @@
         self.place_parked(now, actions);
         self.owners.turn(now);
         if now.since(self.reported) >= REPORT_MS {
+            self.reported = now;
             self.forget_peers(now, actions);
-            self.report(now, actions);
+            self.report_due(now, actions);
             self.pass_members_on(actions);
         }
     }
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -10,8 +10,9 @@
 use crate::stream::message;
 use crate::stream::note;
 
-/// How long another balancer may be unheard and still be told of, in milliseconds.
-const HEARD_MS: u64 = 1_000;
+/// How long another balancer may be unheard and still be told of, in milliseconds: three of its reports
+/// and some.
+const HEARD_MS: u64 = 3 * balancer::PEER_REPORT_MS + 200;
 
 /// How long a balancer that is not heard still gets reports, in milliseconds.
 const KEPT_MS: u64 = 30_000;
@@ -142,14 +143,38 @@
         }
     }
 
+    /// Tells everyone at once: something has changed that none may learn late.
     pub(super) fn report(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         self.reported = now;
+        self.told_agents = ids::UnixMillis(0);
+        self.told_peers = ids::UnixMillis(0);
+        self.report_due(now, actions);
+    }
+
+    /// Tells those whose turn it is; the more balancers there are, the less often each tells.
+    pub(super) fn report_due(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
         let report = self.own_report();
-        for member in self.board.addresses().chain(self.peers.keys().copied()) {
-            actions.push(stream::StreamAction::Tell(member, report.clone()));
+        if now.since(self.told_agents) >= self.report_period_ms(balancer::AGENT_REPORT_MS) {
+            self.told_agents = now;
+            let agents = self.board.addresses();
+            actions.extend(agents.map(|agent| stream::StreamAction::Tell(agent, report.clone())));
+        }
+        if now.since(self.told_peers) >= self.report_period_ms(balancer::PEER_REPORT_MS) {
+            self.told_peers = now;
+            let peers = self.peers.keys();
+            actions.extend(peers.map(|peer| stream::StreamAction::Tell(*peer, report.clone())));
         }
     }
 
+    fn report_period_ms(&self, most: u64) -> u64 {
+        let heard = self.peers.values().filter(|peer| peer.is_heard).count() as u64;
+        (balancer::REPORT_SHARE_MS * (heard + 1)).clamp(balancer::REPORT_MS, most)
+    }
+
     pub(super) fn own_report(&self) -> message::StreamMessage {
         message::StreamMessage::Balancer(message::BalancerReport {
             data_centre: self.config.data_centre,
--- a/crates/core/tests/stream_members.rs
+++ b/crates/core/tests/stream_members.rs
@@ -90,3 +90,35 @@
     let balancer = read(r#"{"address":"10.0.0.9:7000","service":null}"#).expect("a balancer's");
     assert_eq!(balancer.service, None);
 }
+
+/// A fleet grows from 4 to 24 balancers. An agent hears twenty of their reports a second, and not five
+/// more a second for each balancer, and so does a balancer but for the liveness that it needs. A
+/// configuration is in force everywhere all the same, and who is there stays known.
+#[test]
+fn telling_bounded() {
+    const SECONDS: u64 = 10;
+    let heard = |balancers: u8| {
+        let mut world = world::StreamWorld::calm();
+        for nth in 3..=balancers {
+            world.start_balancer(nth);
+        }
+        world.advance(2_000);
+        world.told.clear();
+        world.advance(1_000 * SECONDS);
+        let agent = world::agent_address(1);
+        let peer = world::balancer_address(2);
+        let a_second = |process| world.told[&(process, "balancer_report")] / SECONDS;
+        let rates = (a_second(agent), a_second(peer));
+        assert_eq!(world.balancers[&peer].board().heard().count(), 3);
+        assert!(world.balancers.values().all(|balancer| balancer.hears_balancer()));
+        world.set_config(world::config(2, &[("wallet", &[0, 1, 2]), ("preview", &[5])]));
+        world.advance(2_000);
+        let generations = world.balancers.values().map(|balancer| balancer.state().generation());
+        assert!(generations.chain([world.agents[&agent].state().generation()]).all(|g| g.0 == 2));
+        rates
+    };
+    let (agent, peer) = heard(4);
+    assert!((18..=22).contains(&agent) && (13..=17).contains(&peer), "{agent} {peer}");
+    let (agent, peer) = heard(24);
+    assert!(agent <= 28 && peer <= 70, "{agent} {peer}");
+}
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -138,6 +138,8 @@
     sent: u64,
     /// Whether backend servers say when they started.
     pub(crate) has_births: bool,
+    /// How many messages each process has been sent, by what they are for.
+    pub(crate) told: collections::BTreeMap<(net::SocketAddrV4, &'static str), u64>,
     runs: u64,
     written: Vec<oracle::WrittenSegment>,
 }
@@ -166,6 +168,7 @@
             queue: collections::BTreeMap::new(),
             sent: 0,
             has_births: true,
+            told: collections::BTreeMap::new(),
             runs: 0,
             written: Vec::new(),
         }
@@ -407,6 +410,7 @@
     fn carry_out(&mut self, address: net::SocketAddrV4, action: stream::StreamAction) {
         match action {
             stream::StreamAction::Tell(to, message) => {
+                *self.told.entry((to, message.kind().label())).or_default() += 1;
                 self.post(DELAY_MS, Envelope::Message { from: address, to, message });
             }
             stream::StreamAction::HandOver(marks, bytes) => {
