--- /dev/null
+++ b/crates/wire/tests/foreign_messages.rs
@@ -0,0 +1,124 @@
+//! Datagrams and answers of other writers, where messages and configurations of processes are expected:
+//! they are refused, and nothing else happens.
+
+use proptest::prelude::*;
+use proptest::test_runner;
+use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
+use rosemaryusher_core::load;
+use rosemaryusher_core::stream::host;
+use rosemaryusher_core::stream::message;
+use rosemaryusher_core::stream::segment;
+use rosemaryusher_wire::packet;
+
+/// Cases of each test, with a fixed seed.
+const CASES: u32 = 4_000;
+
+fn play<S: Strategy>(strategy: &S, check: impl Fn(S::Value)) {
+    let config = test_runner::Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    };
+    let rng = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
+    let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
+    let result = runner.run(strategy, |value| {
+        check(value);
+        Ok(())
+    });
+    result.expect("every case holds");
+}
+
+fn sound_messages() -> Vec<message::StreamMessage> {
+    let address = "10.0.0.1:7000".parse().expect("an address");
+    let key = segment::StreamKey { caller: address, entry: address };
+    let load = load::LoadReport { sequence: 7, running: 1, slots: 2, ..Default::default() };
+    let generation = ids::ConfigGeneration(3);
+    vec![
+        message::StreamMessage::Carry(message::CarryMessage {
+            kind: message::CarryKind::Open,
+            service: ids::ServiceId(9),
+            generation,
+            segment: vec![1, 2, 3],
+        }),
+        message::StreamMessage::Find { key, caller_expects: 5 },
+        message::StreamMessage::Held { key, first_sequence: None, load },
+        message::StreamMessage::Agent(message::AgentReport {
+            agent: ids::InstanceId(1),
+            service: ids::ServiceId(9),
+            data_centre: 1,
+            phase: host::HostPhase::Serving,
+            load,
+            generation,
+        }),
+        message::StreamMessage::Heard(message::HeardMembers {
+            balancers: vec![address],
+            agents: vec![address; 3],
+        }),
+    ]
+}
+
+/// Any bytes, and sound messages with some bytes changed or cut off: each is read as a message or
+/// refused. Whatever is read can be sent on, since a process may tell others of it.
+#[test]
+fn fuzzed_messages() {
+    let sound: Vec<Vec<u8>> = sound_messages()
+        .iter()
+        .map(|message| packet::encode(message).expect("a sound message"))
+        .collect();
+    for (message, bytes) in sound_messages().iter().zip(&sound) {
+        assert_eq!(packet::decode::<message::StreamMessage>(bytes).as_ref(), Ok(message));
+    }
+    let damaged = (
+        prop::sample::select(sound),
+        prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..5),
+        any::<prop::sample::Index>(),
+    )
+        .prop_map(|(mut bytes, changes, length)| {
+            for (place, byte) in changes {
+                let place = place.index(bytes.len());
+                bytes[place] = byte;
+            }
+            let length = length.index(bytes.len() + 1);
+            bytes.truncate(length);
+            bytes
+        });
+    let bytes = prop_oneof![prop::collection::vec(any::<u8>(), 0..64), damaged];
+    play(&bytes, |bytes| {
+        if let Ok(message) = packet::decode::<message::StreamMessage>(&bytes) {
+            assert!(packet::encode(&message).is_ok());
+        }
+    });
+}
+
+/// The same of configurations that another process passes on. What is read is put in force or not, and
+/// never takes the generation back.
+#[test]
+fn fuzzed_configs() {
+    let generation = ids::ConfigGeneration(7);
+    let spec = serde_json::json!({
+        "name": "wallet", "host_slots": 5, "host_connections": 9,
+        "streams": [{ "address": "198.18.0.1:443" }],
+    });
+    let spec = serde_json::from_value(spec).expect("a service");
+    let sound = config::ConfigDelta {
+        generation,
+        changed: vec![(generation, spec)],
+        removed_from: generation,
+        ..config::ConfigDelta::default()
+    };
+    let sound = rmp_serde::to_vec(&sound).expect("a sound configuration");
+    let changes = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..5);
+    play(&changes, |changes| {
+        let mut bytes = sound.clone();
+        for (place, byte) in changes {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        let Ok(delta) = rmp_serde::from_slice::<config::ConfigDelta>(&bytes) else { return };
+        let mut state = config::ConfigState::default();
+        let before = state.generation();
+        state.advance(&delta);
+        assert!(state.generation() >= before);
+    });
+}
