Two comments on first reports say what was measured and seen, and no more

Cause: on reading the change again, one comment called report number 1 the published protocol's, whose example has another number; the other said a third of all bytes where the counts say 27 of 64 MB.

--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -11,7 +11,8 @@
 use crate::stream::report;
 use crate::stream::segment;
 
-/// The number of a run's first report, by the published protocol's examples of a new count.
+/// The number of a run's first report, as seen of every backend server that was started. Where they are
+/// numbered otherwise, agents are less sure of what they hold.
 const FIRST_SEQUENCE: u64 = 1;
 
 /// How much earlier than its agent a backend server may say that it began, and no former run of the
@@ -70,8 +71,8 @@
     /// anything: openings are handed over only once a run has reported.
     ///
     /// After a loss of power every stream of every host is dead and is asked for. Agents that could
-    /// not tell had each such segment sent to their hosts: a third of all bytes between processes in
-    /// the four seconds after it (17 balancers, 48 hosts).
+    /// not tell had each such segment sent to their hosts: 27 of 64 MB between processes in the four
+    /// seconds after it (17 balancers, 48 hosts, counted by kind in one replayed day).
     fn has_just_begun(&self, report: &report::HostReport) -> bool {
         let began_with_agent = |born: ids::UnixMillis| born.plus(RESTART_MS) >= self.started;
         report.sequence <= FIRST_SEQUENCE && report.run.born.is_none_or(began_with_agent)
