Evacuated data centres get no new streams

Ruled out: reading the list in every process (a call each, and agents only take what balancers send); carrying a revision alone and fetching the list (one more round trip for a few names); taking the list from the configuration (it is written apart from it, and not numbered with it).

Change: the few balancers that watch the configuration also watch the list. Whole lists travel in balancers' reports with the platform's revision; the later one holds. Balancers place nothing there, agents give back what others still send, and a balancer that has just started lets openings wait for the list, for a second at the most. All evacuated: refused at once.

--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -194,6 +194,11 @@
             _ if self.is_rerouted(key, carry.generation) => {
                 Some(message::ReturnReason::OtherService)
             }
+            // A balancer that was cut off, or has just started, may not know that operators are about
+            // to switch the data centre off: its callers' streams would end with it.
+            _ if self.evacuations.covers(self.config.data_centre) => {
+                Some(message::ReturnReason::Evacuated)
+            }
             host::HostPhase::Serving if is_copy => None,
             host::HostPhase::Serving if self.is_leaving => Some(message::ReturnReason::NotServing),
             host::HostPhase::Serving if now < self.silent_until => {
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -16,6 +16,7 @@
 use crate::ids;
 use crate::load;
 use crate::stream;
+use crate::stream::evacuation;
 use crate::stream::held;
 use crate::stream::host;
 use crate::stream::mean;
@@ -71,6 +72,7 @@
 pub struct StreamAgent {
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
+    evacuations: evacuation::EvacuationState,
     host: host::HostState,
     held: held::HeldStreams,
     waiting: waiting::WaitingRoom,
@@ -96,6 +98,7 @@
         StreamAgent {
             config,
             state: sync::Arc::default(),
+            evacuations: evacuation::EvacuationState::default(),
             host: host::HostState::default(),
             held: held::HeldStreams::default(),
             waiting: waiting::WaitingRoom::default(),
@@ -146,7 +149,8 @@
                 let balancers: Vec<_> = balancers.map(|member| member.address).collect();
                 self.meet(&balancers, now, actions);
             }
-            stream::StreamEvent::Platform(_) => {}
+            // Agents hear of them by balancers.
+            stream::StreamEvent::Evacuations(_) | stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
             stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
             stream::StreamEvent::HostVanished => self.host_vanished(now, actions),
@@ -187,7 +191,7 @@
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             (message::StreamMessage::Balancer(report), _) => {
-                self.hear_balancer(from, *report, now, actions);
+                self.hear_balancer(from, report, now, actions);
             }
             _ => {}
         }
@@ -238,6 +242,11 @@
         &self.state
     }
 
+    /// The evacuated data centres that this agent knows of.
+    pub fn evacuations(&self) -> &evacuation::EvacuationState {
+        &self.evacuations
+    }
+
     /// Whether a balancer has been heard lately.
     pub fn hears_balancer(&self) -> bool {
         self.balancers.values().any(|known| known.is_heard)
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -5,6 +5,7 @@
 use crate::ids;
 use crate::stream;
 use crate::stream::agent;
+use crate::stream::evacuation;
 use crate::stream::message;
 use crate::stream::note;
 
@@ -25,7 +26,7 @@
     pub(super) fn hear_balancer(
         &mut self,
         from: net::SocketAddrV4,
-        report: message::BalancerReport,
+        report: &message::BalancerReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
@@ -46,6 +47,11 @@
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
+        let outcome = self.evacuations.advance(&report.evacuations);
+        if outcome == evacuation::EvacuationOutcome::Changed {
+            let note = note::StreamNote::evacuated(&self.evacuations);
+            actions.push(stream::StreamAction::Note(note));
+        }
     }
 
     pub(super) fn forget_balancers(
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! Where a caller's segment goes, and what is refused.
 
+mod evacuations;
 mod neighbours;
 mod openings;
 mod routing;
@@ -15,6 +16,7 @@
 use crate::ids;
 use crate::stream;
 use crate::stream::board;
+use crate::stream::evacuation;
 use crate::stream::lookup;
 use crate::stream::message;
 use crate::stream::note;
@@ -57,6 +59,7 @@
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
     board: board::AgentBoard,
+    evacuations: evacuation::EvacuationState,
     owners: owners::StreamOwners,
     searches: lookup::OwnerSearches,
     parked: parked::ParkedOpenings,
@@ -71,6 +74,9 @@
     told_peers: ids::UnixMillis,
     reaches_platform: bool,
     is_leaving: bool,
+    started: ids::UnixMillis,
+    /// Whether it was logged that openings are placed without knowing what is evacuated.
+    has_stopped_waiting: bool,
 }
 
 impl StreamBalancer {
@@ -79,6 +85,7 @@
         StreamBalancer {
             state: sync::Arc::default(),
             board: board::AgentBoard::new(config.data_centre, config.policy),
+            evacuations: evacuation::EvacuationState::default(),
             owners: owners::StreamOwners::default(),
             searches: lookup::OwnerSearches::default(),
             parked: parked::ParkedOpenings::default(),
@@ -91,6 +98,8 @@
             told_peers: ids::UnixMillis(0),
             reaches_platform: false,
             is_leaving: false,
+            started: now,
+            has_stopped_waiting: false,
             config,
         }
     }
@@ -129,6 +138,9 @@
                 }
                 self.report(now, actions);
             }
+            stream::StreamEvent::Evacuations(state) => {
+                self.take_evacuations(&state, now, actions);
+            }
             stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
             stream::StreamEvent::HostReport(_)
@@ -165,7 +177,7 @@
                 self.hear_agent(from, report, now, actions);
             }
             (message::StreamMessage::Balancer(report), _) => {
-                self.hear_balancer(from, *report, now, actions);
+                self.hear_balancer(from, report, now, actions);
             }
             (message::StreamMessage::Heard(members), _) => {
                 self.take_heard(members, now, actions);
@@ -189,6 +201,7 @@
                 }));
             }
         }
+        self.note_unknown_evacuations(now, actions);
         self.place_parked(now, actions);
         self.owners.turn(now);
         if now.since(self.reported) >= REPORT_MS {
@@ -224,9 +237,10 @@
     }
 
     /// Whether it can place streams: it has a configuration, knows agents and stays.
-    pub fn is_ready(&self) -> bool {
+    pub fn is_ready(&self, now: ids::UnixMillis) -> bool {
         let has_config = self.state.generation() > ids::ConfigGeneration(0);
-        has_config && !self.is_leaving && self.board.heard().next().is_some()
+        let is_informed = has_config && !self.awaits_evacuations(now);
+        is_informed && !self.is_leaving && self.board.heard().next().is_some()
     }
 
     /// Whether this balancer is one of the first `limit` of those that reach the platform.
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -57,7 +57,7 @@
     pub(super) fn hear_balancer(
         &mut self,
         from: net::SocketAddrV4,
-        report: message::BalancerReport,
+        report: &message::BalancerReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
@@ -80,6 +80,7 @@
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
+        self.take_evacuations(&report.evacuations, now, actions);
     }
 
     /// Takes in whom another balancer has heard.
@@ -181,6 +182,7 @@
             generation: self.state.generation(),
             is_leaving: self.is_leaving,
             reaches_platform: self.reaches_platform && !self.is_leaving,
+            evacuations: self.evacuations.clone(),
         })
     }
 
--- a/crates/core/src/stream/balancer/openings.rs
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -56,6 +56,9 @@
         if !is_known {
             self.owners.put(key, owners::StreamOwner::new(now));
         }
+        if self.awaits_evacuations(now) {
+            return self.park(key, bytes, now, actions);
+        }
         let Some(owner) = self.owners.touch(key) else { return };
         // An agent may have had it twice: for a free slot, and to queue.
         let passed = owner.queued.iter().filter(|agent| !owner.tried.contains(agent));
@@ -68,6 +71,10 @@
             }
             _ => match self.board.choose(service, &owner.queued, now, &mut self.random) {
                 Some(choice) => (message::CarryKind::OpenQueued, choice),
+                // Nothing that could be waited for takes it in time.
+                None if self.board.is_evacuated_whole(service, now) => {
+                    return self.reset(key, 0, note::ResetReason::Evacuated, actions);
+                }
                 None if owner.queued.is_empty() => return self.park(key, bytes, now, actions),
                 None => return self.reset(key, 0, note::ResetReason::AllRefused, actions),
             },
@@ -103,8 +110,9 @@
         if self.parked.park(opening, opened, park_ms, now) {
             return;
         }
+        let is_informed = !self.awaits_evacuations(now);
         let hears_agents = self.board.heard().next().is_some();
-        match hears_agents {
+        match is_informed && hears_agents {
             true => self.reset(key, 0, note::ResetReason::NoAgent, actions),
             // Cut off or just started: that nobody is there is not known. The caller's next copy
             // may come through a balancer that knows more.
@@ -150,7 +158,7 @@
             message::ReturnReason::NotServing => {
                 self.board.note_refusal(from, host::HostPhase::Draining);
             }
-            message::ReturnReason::Silent => {
+            message::ReturnReason::Silent | message::ReturnReason::Evacuated => {
                 self.board.note_refusal(from, host::HostPhase::Unknown);
             }
             _ => {}
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::load;
+use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::message;
 use crate::stream::policy;
@@ -63,6 +64,8 @@
 pub struct AgentBoard {
     agents: collections::BTreeMap<net::SocketAddrV4, KnownAgent>,
     data_centre: u32,
+    /// Data centres that get no new streams.
+    evacuated: collections::BTreeSet<u32>,
     policy: policy::StreamPolicy,
     /// Since when this balancer has heard most agents without a break.
     in_contact: ids::UnixMillis,
@@ -129,6 +132,11 @@
         }
     }
 
+    /// Notes which data centres get no new streams.
+    pub fn evacuate(&mut self, evacuations: &evacuation::EvacuationState) {
+        self.evacuated = evacuations.hashes().collect();
+    }
+
     /// Notes an agent's address that another balancer told.
     pub fn note_address(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
         self.agents.entry(agent).or_insert_with(|| unheard(now));
@@ -220,10 +228,8 @@
     ) -> Option<AgentChoice> {
         let candidates = || {
             self.agents.iter().filter(move |(address, known)| {
-                let report = known.report.as_ref();
-                let serves = report
-                    .is_some_and(|r| r.service == service && r.phase == host::HostPhase::Serving);
-                serves && self.is_heard(known, now) && !tried.contains(address)
+                let is_open = self.serves(known, service, now) && !self.is_evacuated(known);
+                is_open && !tried.contains(address)
             })
         };
         let drawn_agents = self.policy.placement.drawn_agents as usize;
@@ -239,6 +245,26 @@
         Some(choice(best.0, best.1, now))
     }
 
+    /// Whether agents serve a service, and all that do are in evacuated data centres.
+    pub fn is_evacuated_whole(&self, service: ids::ServiceId, now: ids::UnixMillis) -> bool {
+        let mut serving = self.agents.values().filter(|known| self.serves(known, service, now));
+        serving.next().is_some_and(|first| {
+            self.is_evacuated(first) && serving.all(|known| self.is_evacuated(known))
+        })
+    }
+
+    fn serves(&self, known: &KnownAgent, service: ids::ServiceId, now: ids::UnixMillis) -> bool {
+        let report = known.report.as_ref();
+        let serves =
+            report.is_some_and(|r| r.service == service && r.phase == host::HostPhase::Serving);
+        serves && self.is_heard(known, now)
+    }
+
+    fn is_evacuated(&self, known: &KnownAgent) -> bool {
+        let centre = known.report.as_ref().map(|report| report.data_centre);
+        centre.is_some_and(|centre| self.evacuated.contains(&centre))
+    }
+
     /// The agent that costs least; of equals any.
     ///
     /// Neither the draw nor the list has its agents in random order: with the first of equals, one of
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::load;
+use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::segment;
 
@@ -38,6 +39,8 @@
     Silent,
     /// The backend server does not hold the stream.
     NotHeld,
+    /// The backend server's data centre is evacuated.
+    Evacuated,
 }
 
 impl ReturnReason {
@@ -50,6 +53,7 @@
             ReturnReason::OtherService => "other_service",
             ReturnReason::Silent => "silent",
             ReturnReason::NotHeld => "not_held",
+            ReturnReason::Evacuated => "evacuated",
         }
     }
 }
@@ -100,7 +104,7 @@
 }
 
 /// What a balancer tells every agent and balancer it knows.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BalancerReport {
     /// Its data centre.
     pub data_centre: u32,
@@ -110,6 +114,8 @@
     pub is_leaving: bool,
     /// Whether its last call to the platform succeeded.
     pub reaches_platform: bool,
+    /// The evacuated data centres that it knows of: a few names, most often none.
+    pub evacuations: evacuation::EvacuationState,
 }
 
 /// Whom a balancer has heard lately, told to one other balancer at a time.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -9,6 +9,7 @@
 //! | [`segment`] | the head of a segment, free of its layout on the wire |
 //! | [`message`] | what balancers and agents tell each other |
 //! | [`report`] | what a backend server says of itself, and which of its runs says it |
+//! | [`evacuation`] | which data centres get no new streams |
 //! | [`host`] | which run of the backend server is up, and whether it takes new streams |
 //! | [`held`] | the streams that one backend server holds, and the work in progress there |
 //! | [`agent`] | what one backend server is handed, and what it gives back |
@@ -27,6 +28,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod board;
+pub mod evacuation;
 pub mod held;
 pub mod host;
 pub mod lookup;
@@ -69,6 +71,8 @@
     Config(sync::Arc<config::ConfigState>),
     /// Where balancers may be found, by the settings.
     Seeds(Vec<net::SocketAddrV4>),
+    /// The data centres that operators have evacuated, as the platform lists them.
+    Evacuations(evacuation::EvacuationState),
     /// Every process that is announced on the platform, read after this one was announced itself.
     Members(Vec<AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
@@ -142,6 +146,8 @@
     pub address: net::SocketAddrV4,
     /// The data centre, as a hash of its name.
     pub data_centre: u32,
+    /// Whether operators may evacuate data centres here.
+    pub has_evacuations: bool,
     /// The service of the backend server beside this process, at an agent.
     pub service: ids::ServiceId,
     /// How often the backend server reports, in milliseconds.
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -1,10 +1,12 @@
 //! What a decision tells the log: what was decided, and the inputs that decided it.
 
+use std::collections;
 use std::net;
 
 use serde::Serialize;
 
 use crate::ids;
+use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::message;
 use crate::stream::segment;
@@ -19,6 +21,8 @@
     AllRefused,
     /// No agent of the service is known.
     NoAgent,
+    /// Every agent that could take the opening is in an evacuated data centre.
+    Evacuated,
     /// The run of the backend server that held the stream is over.
     RunOver,
     /// Every agent of the service answered that its backend server does not hold the stream.
@@ -32,6 +36,7 @@
             ResetReason::NoService => "no_service",
             ResetReason::AllRefused => "all_refused",
             ResetReason::NoAgent => "no_agent",
+            ResetReason::Evacuated => "evacuated",
             ResetReason::RunOver => "run_over",
             ResetReason::HeldNowhere => "held_nowhere",
         }
@@ -179,6 +184,18 @@
         /// Its generation.
         generation: ids::ConfigGeneration,
     },
+    /// Other data centres are evacuated than before, or the first list of them is here.
+    EvacuationsChanged {
+        /// The names of those that are.
+        data_centres: collections::BTreeSet<String>,
+        /// The platform's revision that the list was read at.
+        revision: u64,
+    },
+    /// Openings are placed though it is not known which data centres are evacuated.
+    EvacuationsUnknown {
+        /// For how long openings waited for the list, in milliseconds.
+        waited_ms: u64,
+    },
 }
 
 impl StreamNote {
@@ -193,9 +210,19 @@
                 | StreamNote::BalancerChanged { .. }
                 | StreamNote::Resumed { .. }
                 | StreamNote::ConfigInForce { .. }
+                | StreamNote::EvacuationsChanged { .. }
+                | StreamNote::EvacuationsUnknown { .. }
         )
     }
 
+    /// A note on the data centres that are evacuated now.
+    pub fn evacuated(state: &evacuation::EvacuationState) -> StreamNote {
+        StreamNote::EvacuationsChanged {
+            data_centres: state.data_centres().clone(),
+            revision: state.revision(),
+        }
+    }
+
     /// A note on a segment that an agent gave back.
     pub fn returned(
         stream: segment::StreamKey,
--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -12,6 +12,7 @@
 use rosemaryusher_core::stream::report;
 
 use stream_world as world;
+use stream_world::evacuations;
 
 /// Cases by default, with a fixed seed.
 const CASES: u32 = 256;
@@ -43,6 +44,7 @@
     Freeze { process: u8 },
     Thaw,
     Configure { routes: u16, to: u8 },
+    Evacuate { near: bool, far: bool },
     Wait { millis: u64 },
 }
 
@@ -78,6 +80,13 @@
     ]
 }
 
+/// The same with a data centre that operators evacuate and take back.
+fn step_among_centres() -> impl Strategy<Value = Step> {
+    let evacuate =
+        (any::<bool>(), any::<bool>()).prop_map(|(near, far)| Step::Evacuate { near, far });
+    prop_oneof![24 => step(), 1 => evacuate]
+}
+
 struct FuzzRun {
     world: world::StreamWorld,
     generation: u64,
@@ -184,6 +193,11 @@
                 world.set_config(world::config(self.generation, &services));
                 world.deliver_config(process_address(to));
             }
+            Step::Evacuate { near, far } => {
+                let centres = [(evacuations::NEAR, near), (evacuations::FAR, far)];
+                let evacuated = centres.iter().filter(|(_, is_evacuated)| *is_evacuated);
+                world.evacuate(&evacuated.map(|(name, _)| *name).collect::<Vec<_>>());
+            }
             Step::Wait { millis } => world.advance(millis),
         }
     }
@@ -239,17 +253,24 @@
 
 #[test]
 fn streams_hold() {
-    play(SLOTS);
+    play(world::StreamWorld::new, SLOTS, step());
 }
 
 /// One slot a backend server: openings wait at agents through crashes, drains and cuts, and the same
 /// must hold of them.
 #[test]
 fn scarce_slots() {
-    play(1);
+    play(world::StreamWorld::new, 1, step());
+}
+
+/// Operators evacuate data centres and take them back through all of it: streams that are open go on,
+/// and none opens at a backend server whose data centre has been evacuated for long.
+#[test]
+fn evacuations_hold() {
+    play(world::StreamWorld::two_centres, SLOTS, step_among_centres());
 }
 
-fn play(slots: u32) {
+fn play(start: fn() -> world::StreamWorld, slots: u32, step: impl Strategy<Value = Step>) {
     let cases = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
     let config = test_runner::Config {
         cases: cases.unwrap_or(CASES),
@@ -258,9 +279,9 @@
     };
     let rng = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
     let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
-    let steps = proptest::collection::vec(step(), 1..60);
+    let steps = proptest::collection::vec(step, 1..60);
     let result = runner.run(&(steps, any::<bool>()), |(steps, has_births)| {
-        let mut world = world::StreamWorld::new();
+        let mut world = start();
         world.has_births = has_births;
         world.set_up(3, slots);
         let mut run =
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -507,7 +507,7 @@
     world.open(key, 0);
     world.advance(10);
     world.handle(world::balancer_address(1), stream::StreamEvent::Leave);
-    assert!(!world.balancers[&world::balancer_address(1)].is_ready());
+    assert!(!world.balancers[&world::balancer_address(1)].is_ready(world.now));
     world.send(key);
     world.advance(60);
     world.entry_balancer = world::balancer_address(2);
--- a/crates/core/tests/stream_world/callers.rs
+++ b/crates/core/tests/stream_world/callers.rs
@@ -47,6 +47,19 @@
         self.send_segment(key, flags, acknowledged, 0);
     }
 
+    /// The bytes of an opening that goes to no balancer.
+    pub(crate) fn opening(&mut self, key: segment::StreamKey) -> Vec<u8> {
+        self.callers.entry(key).or_default();
+        let flags = segment::SegmentFlags { opens: true, ..segment::SegmentFlags::default() };
+        let head = caller_head(key, flags, 0, 0);
+        self.write(head, true)
+    }
+
+    /// The head of a segment that was written.
+    pub(crate) fn head_of(&self, bytes: &[u8]) -> segment::SegmentHead {
+        self.read(bytes).head
+    }
+
     fn send_segment(
         &mut self,
         key: segment::StreamKey,
@@ -54,15 +67,7 @@
         acknowledged: u32,
         length: u16,
     ) {
-        let head = segment::SegmentHead {
-            source: key.caller,
-            destination: key.entry,
-            flags,
-            sequence: 7,
-            acknowledged,
-            length,
-            marks: segment::SegmentMarks::default(),
-        };
+        let head = caller_head(key, flags, acknowledged, length);
         let balancer = self.entry_balancer;
         let bytes = self.write(head, true);
         self.post(DELAY_MS, Envelope::FromCaller { balancer, head, bytes });
@@ -83,3 +88,20 @@
         }
     }
 }
+
+fn caller_head(
+    key: segment::StreamKey,
+    flags: segment::SegmentFlags,
+    acknowledged: u32,
+    length: u16,
+) -> segment::SegmentHead {
+    segment::SegmentHead {
+        source: key.caller,
+        destination: key.entry,
+        flags,
+        sequence: 7,
+        acknowledged,
+        length,
+        marks: segment::SegmentMarks::default(),
+    }
+}
--- a/crates/core/tests/stream_world/hosts.rs
+++ b/crates/core/tests/stream_world/hosts.rs
@@ -161,6 +161,7 @@
         let key = head.key_from_caller();
         if head.is_opening() {
             self.check_in_force(agent, &written, marks);
+            self.check_evacuated(agent, marks);
         }
         let Some(host) = self.hosts.get_mut(&agent).filter(|host| !host.is_dark) else { return };
         if head.is_opening() {
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod callers;
+pub(crate) mod evacuations;
 mod hosts;
 mod oracle;
 
@@ -18,6 +19,7 @@
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::agent;
 use rosemaryusher_core::stream::balancer;
+use rosemaryusher_core::stream::evacuation;
 use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::note;
 use rosemaryusher_core::stream::policy;
@@ -134,6 +136,12 @@
     /// Every service that any configuration has named for an entry.
     allowed: collections::BTreeSet<(net::SocketAddrV4, String)>,
     announced: collections::BTreeSet<(net::SocketAddrV4, Option<ids::ServiceId>)>,
+    /// Whether operators may evacuate data centres.
+    pub(crate) has_evacuations: bool,
+    /// Whether the platform's list of evacuated data centres can be read.
+    pub(crate) lists_evacuations: bool,
+    /// Every list of evacuated data centres, the oldest first, with when it was written.
+    evacuated: Vec<(ids::UnixMillis, evacuation::EvacuationState)>,
     queue: collections::BTreeMap<(ids::UnixMillis, u64), Envelope>,
     sent: u64,
     /// Whether backend servers say when they started.
@@ -165,6 +173,9 @@
             returned: collections::BTreeMap::new(),
             allowed: collections::BTreeSet::new(),
             announced: collections::BTreeSet::new(),
+            has_evacuations: false,
+            lists_evacuations: true,
+            evacuated: Vec::new(),
             queue: collections::BTreeMap::new(),
             sent: 0,
             has_births: true,
@@ -231,7 +242,8 @@
         stream::StreamConfig {
             instance: ids::InstanceId(self.runs),
             address,
-            data_centre: if self.far.contains(&address) { 2 } else { 1 },
+            data_centre: ids::hash_centre(self.centre_of(address)),
+            has_evacuations: self.has_evacuations,
             service: ids::ServiceId::of_name(service),
             host_report_ms: HOST_REPORT_MS,
             stream_limit_s: 60,
@@ -391,6 +403,7 @@
         let is_due = self.now.0.is_multiple_of(WATCH_MS);
         if is_due && !self.frozen.contains(&watcher) && !self.cut.contains(&watcher) {
             self.deliver_config(watcher);
+            self.deliver_evacuations(watcher);
         }
     }
 
--- a/crates/node/src/foreign.rs
+++ b/crates/node/src/foreign.rs
@@ -26,6 +26,8 @@
     Object,
     /// A process's announcement on the platform.
     Announcement,
+    /// The platform's entry of an evacuated data centre.
+    Evacuation,
     /// The operators' configuration, or a part of it.
     Configuration,
     /// A configuration that another process passed on.
@@ -40,6 +42,7 @@
             ForeignPlace::Leave => "leave",
             ForeignPlace::Object => "object",
             ForeignPlace::Announcement => "announcement",
+            ForeignPlace::Evacuation => "evacuation",
             ForeignPlace::Configuration => "configuration",
             ForeignPlace::PeerConfig => "peer_config",
         }
@@ -47,7 +50,7 @@
 }
 
 /// When the last line was written, for each place.
-static WRITTEN: [sync::Mutex<Option<time::Instant>>; 6] = [const { sync::Mutex::new(None) }; 6];
+static WRITTEN: [sync::Mutex<Option<time::Instant>>; 7] = [const { sync::Mutex::new(None) }; 7];
 
 /// Counts something that cannot be used, and logs it if its place has been quiet.
 pub fn note(place: ForeignPlace, name: &str, problem: impl fmt::Display) {
--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -1,32 +1,19 @@
-//! The thread that follows the configuration and answers calls.
+//! The thread that follows the platform and answers calls.
 
 use std::net;
 use std::rc;
-use std::time;
 
 use rosemaryusher_core::config;
-use rosemaryusher_core::ids;
 use smol::channel;
 
 use crate::foreign;
 use crate::http;
 use crate::settings;
 use crate::stream::announce;
+use crate::stream::follow;
 use crate::stream::hub;
 use crate::stream::pauses;
 use crate::stream::routes;
-use crate::stream::status;
-
-/// How long one watch of the platform waits, in milliseconds.
-///
-/// A connection may fall silent without an end. A change must be in force within 3 s, so a watch
-/// that hears nothing is made anew well within that.
-const WATCH_MS: u64 = 2_000;
-
-/// How long an agent that has just started waits for a balancer before it asks the platform for the
-/// configuration, in milliseconds: processes that start together are up within 300, and balancers
-/// report every 200.
-const PEER_CONFIG_MS: u64 = 500;
 
 /// How often the settings file is looked at, in milliseconds: it may change without a signal.
 const SETTINGS_MS: u64 = 1_000;
@@ -50,7 +37,10 @@
     hub.tell_seeds(hub.seeds()).await;
     executor.spawn(announce::meet_members(hub.clone())).detach();
     executor.spawn(fetch_configs(hub.clone(), fetches)).detach();
-    executor.spawn(follow(hub.clone())).detach();
+    executor.spawn(follow::follow_config(hub.clone())).detach();
+    if hub.streams().evacuations {
+        executor.spawn(follow::follow_evacuations(hub.clone())).detach();
+    }
     executor.spawn(watch_settings(hub.clone())).detach();
     Ok(())
 }
@@ -86,50 +76,6 @@
     }
 }
 
-/// Follows the operators' configuration while this process is a watcher or hears of nothing else.
-///
-/// A balancer that has none asks once itself and then waits like the others; an agent asks only if it
-/// hears no balancer. Before the operators have written the first configuration, a fleet of 26 that
-/// went on asking made a quarter of all its calls of a day in these first 0.6 s.
-async fn follow(hub: rc::Rc<hub::StreamHub>) {
-    let is_agent = hub.service.is_some();
-    if is_agent {
-        pauses::sleep_ms(PEER_CONFIG_MS).await;
-    }
-    let mut pause_ms = pauses::FIRST_MS;
-    // Agents hear from balancers, and take openings for their own service meanwhile.
-    let mut has_asked = is_agent;
-    loop {
-        let has_none = hub.generation() == ids::ConfigGeneration(0);
-        let is_watcher = status::holds(&hub.status.is_watcher);
-        let is_lonely = !status::holds(&hub.status.hears_balancer);
-        let wait_ms = match (has_none && !has_asked, is_watcher || is_lonely) {
-            (true, _) => 0,
-            (false, true) => WATCH_MS,
-            (false, false) => {
-                pauses::sleep_ms(pauses::jittered(pauses::FIRST_MS)).await;
-                continue;
-            }
-        };
-        let configs = hub.link.borrow().configs.clone();
-        let wait = time::Duration::from_millis(wait_ms);
-        match configs.next(hub.generation(), wait).await {
-            Ok(delta) => {
-                hub.note_platform(Ok(())).await;
-                pause_ms = pauses::FIRST_MS;
-                has_asked = true;
-                if let Some(delta) = delta {
-                    hub.advance(&delta).await;
-                }
-            }
-            Err(error) => {
-                hub.note_platform(Err(error)).await;
-                pauses::pause(&mut pause_ms).await;
-            }
-        }
-    }
-}
-
 async fn watch_settings(hub: rc::Rc<hub::StreamHub>) {
     loop {
         pauses::sleep_ms(SETTINGS_MS).await;
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -86,7 +86,8 @@
     let config = stream::StreamConfig {
         instance,
         address: own,
-        data_centre: ids::ServiceId::of_name(&parts.settings.data_centre).0,
+        data_centre: ids::hash_centre(&parts.settings.data_centre),
+        has_evacuations: streams.evacuations,
         service: service.unwrap_or_default(),
         host_report_ms: streams.report_period_ms,
         stream_limit_s: streams.stream_limit_s,
--- a/crates/node/src/stream/edge.rs
+++ b/crates/node/src/stream/edge.rs
@@ -6,6 +6,7 @@
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::stream::evacuation;
 use rosemaryusher_core::stream::segment;
 
 use crate::platform;
@@ -36,6 +37,15 @@
     ) -> platform::StoreFuture<'a, Result<Option<config::ConfigDelta>, platform::StoreError>>;
 }
 
+/// Where the list of evacuated data centres is.
+pub trait EvacuationSource {
+    /// Waits at most `wait` for a change of the list; whole, or `None`.
+    fn next<'a>(
+        &'a self,
+        wait: time::Duration,
+    ) -> platform::StoreFuture<'a, Result<Option<evacuation::EvacuationState>, platform::StoreError>>;
+}
+
 /// The platform as one process uses it.
 #[derive(Clone)]
 pub struct PlatformLink {
@@ -43,6 +53,8 @@
     pub store: rc::Rc<dyn platform::ObjectStore>,
     /// The operators' configuration.
     pub configs: rc::Rc<dyn ConfigSource>,
+    /// The data centres that operators have evacuated.
+    pub evacuations: rc::Rc<dyn EvacuationSource>,
 }
 
 /// An adapter.
--- a/crates/node/src/stream/hub.rs
+++ b/crates/node/src/stream/hub.rs
@@ -2,6 +2,7 @@
 //! to the thread that decides.
 
 use std::cell;
+use std::collections;
 use std::net;
 use std::path;
 use std::rc;
@@ -10,8 +11,10 @@
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::stream::evacuation;
 use smol::channel;
 
+use crate::foreign;
 use crate::logs;
 use crate::meters;
 use crate::platform;
@@ -117,6 +120,24 @@
         settings.streams.clone().expect("the settings have streams")
     }
 
+    /// A list of evacuated data centres without those that no process is in.
+    ///
+    /// Other writers may leave entries there: passed on, they would be in every balancer's reports.
+    pub(crate) fn named_here(
+        &self,
+        listed: evacuation::EvacuationState,
+    ) -> evacuation::EvacuationState {
+        let known = self.streams().data_centres;
+        let (here, elsewhere) =
+            listed.data_centres().iter().cloned().partition(|name| known.contains_key(name));
+        let elsewhere: collections::BTreeSet<String> = elsewhere;
+        for name in elsewhere {
+            let problem = "names no data centre of node.streams.data_centres; remove it";
+            foreign::note(foreign::ForeignPlace::Evacuation, &name, problem);
+        }
+        evacuation::EvacuationState::new(listed.revision(), here)
+    }
+
     /// Where balancers on the machines of the settings would take messages.
     pub(crate) fn seeds(&self) -> Vec<net::SocketAddrV4> {
         let at_own_port =
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -7,8 +7,9 @@
 //! | [`settings`] | the settings of streams |
 //! | [`role`] | the engine: a balancer's or an agent's |
 //! | `packets` | the thread that reads, decides and writes segments and messages |
-//! | `control` | the thread that follows the configuration and answers calls |
+//! | `control` | the thread that follows the platform and answers calls |
 //! | `announce` | a process's announcement on the platform, and the list of those of the others |
+//! | `follow` | what is followed on the platform, and by whom |
 //! | `hub` | what the duties of that thread share |
 //! | `pauses` | pauses between calls to the platform |
 //! | `routes` | calls of other processes, of the backend server and of operators |
@@ -22,6 +23,7 @@
 mod control;
 pub mod daemon;
 pub mod edge;
+mod follow;
 mod hub;
 mod journal;
 mod packets;
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -13,6 +13,7 @@
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
 use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::evacuation;
 use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::report;
 use rosemaryusher_core::stream::segment;
@@ -44,6 +45,8 @@
     Config(sync::Arc<config::ConfigState>),
     /// Where balancers may be found, by the settings.
     Seeds(Vec<net::SocketAddrV4>),
+    /// The data centres that operators have evacuated.
+    Evacuations(evacuation::EvacuationState),
     /// Every process that is announced on the platform.
     Members(Vec<stream::AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
@@ -104,7 +107,7 @@
                 ticked = now;
                 self.engine.handle(now, stream::StreamEvent::Tick, &mut actions);
                 self.carry_out(now, &mut actions);
-                self.publish();
+                self.publish(now);
                 self.tally.add_due(now);
             }
             if is_drained {
@@ -233,6 +236,7 @@
         let event = match input {
             StreamInput::Config(state) => stream::StreamEvent::Config(state),
             StreamInput::Seeds(seeds) => stream::StreamEvent::Seeds(seeds),
+            StreamInput::Evacuations(state) => stream::StreamEvent::Evacuations(state),
             StreamInput::Members(members) => stream::StreamEvent::Members(members),
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
@@ -247,11 +251,12 @@
         };
         self.engine.handle(now, event, actions);
         self.carry_out(now, actions);
-        self.publish();
+        self.publish(now);
     }
 
-    fn publish(&self) {
-        status::set(&self.status.is_ready, self.engine.is_ready());
+    fn publish(&self, now: ids::UnixMillis) {
+        status::set(&self.status.is_ready, self.engine.is_ready(now));
+        status::set(&self.status.knows_evacuations, self.engine.evacuations().is_known());
         status::set(&self.status.is_watcher, self.engine.is_watcher());
         status::set(&self.status.hears_balancer, self.engine.hears_balancer());
         status::set(&self.status.is_busy, self.engine.is_busy());
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -5,6 +5,7 @@
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::agent;
 use rosemaryusher_core::stream::balancer;
+use rosemaryusher_core::stream::evacuation;
 
 /// How many balancers watch the platform; the others hear from these.
 ///
@@ -46,13 +47,21 @@
     }
 
     /// Whether the process does its work as far as it can tell.
-    pub fn is_ready(&self) -> bool {
+    pub fn is_ready(&self, now: ids::UnixMillis) -> bool {
         match self {
-            StreamRole::Balancer(engine) => engine.is_ready(),
+            StreamRole::Balancer(engine) => engine.is_ready(now),
             StreamRole::Agent(engine) => engine.hears_balancer(),
         }
     }
 
+    /// The evacuated data centres that are known here.
+    pub fn evacuations(&self) -> &evacuation::EvacuationState {
+        match self {
+            StreamRole::Balancer(engine) => engine.evacuations(),
+            StreamRole::Agent(engine) => engine.evacuations(),
+        }
+    }
+
     /// Whether it is one of the few that watch the platform.
     pub fn is_watcher(&self) -> bool {
         match self {
@@ -95,6 +104,7 @@
                 "load": engine.load(),
                 "streams": engine.streams(),
                 "hears_balancer": engine.hears_balancer(),
+                "evacuations": engine.evacuations(),
             }),
         }
     }
@@ -114,6 +124,7 @@
     serde_json::json!({
         "owners": owners,
         "searches": searches,
+        "evacuations": engine.evacuations(),
         "agents": agents.collect::<Vec<_>>(),
     })
 }
--- a/crates/node/src/stream/settings.rs
+++ b/crates/node/src/stream/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of streams.
 
+use std::collections;
 use std::net;
 
 use rosemaryusher_core::stream::policy;
@@ -33,6 +34,12 @@
     pub report_period_ms: u64,
     /// How long a stream may stay open, in seconds.
     pub stream_limit_s: u64,
+    /// The region of each data centre, by the names of both.
+    #[serde(default)]
+    pub data_centres: collections::BTreeMap<String, String>,
+    /// Whether operators may evacuate data centres: the platform's list of them is followed.
+    #[serde(default)]
+    pub evacuations: bool,
     /// How long a process may take to shut down before it is killed, in seconds.
     pub grace_s: u64,
     /// The figures that decisions go by.
@@ -57,6 +64,10 @@
         );
         need(self.stream_limit_s > 0, "stream_limit_s: is zero; give at least 1");
         need(self.grace_s >= 2, "grace_s: is too short; give at least 2");
+        need(
+            !self.evacuations || !self.data_centres.is_empty(),
+            "data_centres: is empty; name those that may be evacuated, with their regions",
+        );
         need(
             self.listen_address.is_none_or(|address| address.port() != 0),
             "listen_address: has port 0; give the port",
--- a/crates/node/src/stream/status.rs
+++ b/crates/node/src/stream/status.rs
@@ -11,6 +11,8 @@
     pub(crate) is_watcher: atomic::AtomicBool,
     /// Whether it hears of changes from balancers.
     pub(crate) hears_balancer: atomic::AtomicBool,
+    /// Whether a list of evacuated data centres is known here.
+    pub(crate) knows_evacuations: atomic::AtomicBool,
     /// Whether work is in progress.
     pub(crate) is_busy: atomic::AtomicBool,
     /// Whether a backend server beside the process lives, and may hold streams.
