A backend server that is slow after its start gets no more streams than it bears

Nothing kept it: an empty cold host is the best place for every balancer at once.

Change: the agent counts what it hands over and turns away beyond the rate, with the margin of the settings, and reports itself as full meanwhile. After its data centre is taken back its backend server counts as slow until two reports show whether it is. A rate of 0 sets no limit.

Tests: cold_rate; three mutants.

--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -117,8 +117,10 @@
     pub deadline_ms: u64,
     /// How many requests may wait for each slot.
     pub queue_per_slot: u32,
-    /// Over how many seconds a new host's share rises to a whole one.
+    /// Over how many seconds a new host's share rises to a whole one; so long it is slow.
     pub slow_start_s: u32,
+    /// How many streams a host takes in 1,000 s while it is slow; 0 sets no limit.
+    pub slow_start_per_1000_s: u32,
     /// Retries allowed, as a percentage of recent successes.
     pub retry_percent: u32,
     /// After how many seconds without a datagram a flow is closed.
@@ -136,6 +138,7 @@
             deadline_ms: 5_000,
             queue_per_slot: 4,
             slow_start_s: 10,
+            slow_start_per_1000_s: 0,
             retry_percent: 20,
             flow_idle_s: 3_600,
             body_limit: 4 << 20,
@@ -241,6 +244,7 @@
             ("host_connections", spec.host_connections, 1, 1_000_000),
             ("rules.queue_per_slot", rules.queue_per_slot, 0, 1_024),
             ("rules.slow_start_s", rules.slow_start_s, 0, 3_600),
+            ("rules.slow_start_per_1000_s", rules.slow_start_per_1000_s, 0, 1_000_000_000),
             ("rules.retry_percent", rules.retry_percent, 0, 100),
             ("rules.flow_idle_s", rules.flow_idle_s, 1, 604_800),
             ("rules.body_limit", rules.body_limit, 1_024, 64 << 20),
--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -39,20 +39,20 @@
             true => self.take_opening(from, carry, segment, now, actions),
             false if carry.service != self.config.service => {
                 let reason = message::ReturnReason::OtherService;
-                let message = self.returned(reason, segment.bytes);
+                let message = self.returned(reason, segment.bytes, now);
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             // Nothing there could give it back, and its balancer would go on sending here while
             // another backend server holds the stream.
             false if self.phase(now) == host::HostPhase::Gone => {
-                let message = self.returned(message::ReturnReason::NotHeld, segment.bytes);
+                let message = self.returned(message::ReturnReason::NotHeld, segment.bytes, now);
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             // The caller has taken another backend server's answer to a copy of its opening. Handed
             // over, the segment would be lost, and this half would count as work.
             false if self.is_other_half(key, segment.head.acknowledged) => {
                 self.held.remove(key);
-                let message = self.returned(message::ReturnReason::NotHeld, segment.bytes);
+                let message = self.returned(message::ReturnReason::NotHeld, segment.bytes, now);
                 actions.push(stream::StreamAction::Tell(from, message));
             }
             false => {
@@ -86,10 +86,10 @@
                 let places = self.config.policy.admission.waiting_per_slot * self.host.slots();
                 let surplus = self.waiting.put(opening, places as usize, self.work_ms(), now);
                 if let Some(opening) = surplus {
-                    self.give_back(&opening, message::ReturnReason::Full, actions);
+                    self.give_back(&opening, message::ReturnReason::Full, now, actions);
                 }
             }
-            Some(reason) => self.return_opening(key, from, segment.bytes, reason, actions),
+            Some(reason) => self.return_opening(key, from, segment.bytes, reason, now, actions),
         }
     }
 
@@ -104,7 +104,7 @@
             return;
         }
         for opening in self.waiting.take_hopeless(self.work_ms(), now) {
-            self.give_back(&opening, message::ReturnReason::Full, actions);
+            self.give_back(&opening, message::ReturnReason::Full, now, actions);
         }
         while let Some(opening) = self.waiting.pop(self.work_ms(), now) {
             match self.refusal(opening.key, &opening.carry, now) {
@@ -113,7 +113,7 @@
                     self.hand_opening_over(opening.key, opening.balancer, bytes, now, actions);
                 }
                 Some(message::ReturnReason::Full) => return self.waiting.put_back(opening),
-                Some(reason) => self.give_back(&opening, reason, actions),
+                Some(reason) => self.give_back(&opening, reason, now, actions),
             }
         }
     }
@@ -128,6 +128,7 @@
     ) {
         let marks = segment::SegmentMarks { origin: *balancer.ip() };
         self.held.open(key, balancer, bytes, now);
+        self.slow_start.note_handed(now);
         actions.push(stream::StreamAction::HandOver(marks, bytes.to_vec()));
     }
 
@@ -135,10 +136,11 @@
         &self,
         opening: &waiting::WaitingOpening,
         reason: message::ReturnReason,
+        now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let bytes = &opening.carry.segment;
-        self.return_opening(opening.key, opening.balancer, bytes, reason, actions);
+        self.return_opening(opening.key, opening.balancer, bytes, reason, now, actions);
     }
 
     fn return_opening(
@@ -147,11 +149,12 @@
         balancer: net::SocketAddrV4,
         bytes: &[u8],
         reason: message::ReturnReason,
+        now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let note = note::StreamNote::returned(key, self.config.address, reason);
         actions.push(stream::StreamAction::Note(note));
-        actions.push(stream::StreamAction::Tell(balancer, self.returned(reason, bytes)));
+        actions.push(stream::StreamAction::Tell(balancer, self.returned(reason, bytes, now)));
     }
 
     /// How many requests may be on the way to the backend server while all its slots are in use.
@@ -199,7 +202,7 @@
             _ if self.evacuations.covers(self.config.data_centre) => {
                 Some(message::ReturnReason::Evacuated)
             }
-            host::HostPhase::Serving if is_copy => None,
+            host::HostPhase::Serving if is_copy && !self.is_spent(now) => None,
             host::HostPhase::Serving if self.is_leaving => Some(message::ReturnReason::NotServing),
             host::HostPhase::Serving if now < self.silent_until => {
                 Some(message::ReturnReason::Silent)
@@ -207,7 +210,7 @@
             host::HostPhase::Serving if self.held.open_streams() >= self.limit_of_streams() => {
                 Some(message::ReturnReason::Full)
             }
-            host::HostPhase::Serving if self.held.busy() >= limit => {
+            host::HostPhase::Serving if self.held.busy() >= limit || self.is_spent(now) => {
                 Some(message::ReturnReason::Full)
             }
             host::HostPhase::Serving => None,
@@ -238,11 +241,12 @@
         &self,
         reason: message::ReturnReason,
         segment: &[u8],
+        now: ids::UnixMillis,
     ) -> message::StreamMessage {
         message::StreamMessage::Return(message::ReturnMessage {
             reason,
             generation: self.state.generation(),
-            load: self.load(),
+            load: self.load(now),
             segment: segment.to_vec(),
         })
     }
--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -28,6 +28,9 @@
     ) {
         let is_first_heard = self.host.run().is_none();
         let outcome = self.host.hear(report, self.config.host_report_ms, now);
+        if outcome != host::ReportOutcome::Stale {
+            self.slow_start.hear(report.slow_ms, now);
+        }
         let mut reset = 0;
         match outcome {
             host::ReportOutcome::Unchanged => return,
@@ -171,6 +174,7 @@
     pub(super) fn take_back(
         &mut self,
         segment: &segment::StreamSegment<'_>,
+        now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let key = segment.head.key_from_caller();
@@ -186,7 +190,7 @@
             let message = message::StreamMessage::Absent { key, is_sure: true };
             return actions.push(stream::StreamAction::Tell(balancer, message));
         }
-        let message = self.returned(reason, segment.bytes);
+        let message = self.returned(reason, segment.bytes, now);
         actions.push(stream::StreamAction::Note(note::StreamNote::returned(
             key,
             self.config.address,
@@ -227,7 +231,7 @@
                 let message = message::StreamMessage::Held {
                     key,
                     first_sequence: stream.first_sequence,
-                    load: self.load(),
+                    load: self.load(now),
                 };
                 actions.push(stream::StreamAction::Tell(stream.balancer, message));
             }
@@ -254,7 +258,7 @@
                 stream: key,
                 waited_ms,
             }));
-            let message = self.returned(message::ReturnReason::Silent, &stream.opening);
+            let message = self.returned(message::ReturnReason::Silent, &stream.opening, now);
             actions.push(stream::StreamAction::Tell(stream.balancer, message));
         }
     }
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -25,6 +25,7 @@
 use crate::stream::pause;
 use crate::stream::report;
 use crate::stream::segment;
+use crate::stream::slow_start;
 use crate::stream::trust;
 use crate::stream::waiting;
 
@@ -77,6 +78,7 @@
     held: held::HeldStreams,
     waiting: waiting::WaitingRoom,
     trust: trust::HostTrust,
+    slow_start: slow_start::SlowStart,
     /// How long the backend server takes for an answer, in milliseconds.
     pace_ms: mean::LatestMean,
     pause: pause::PauseGuard,
@@ -103,6 +105,7 @@
             held: held::HeldStreams::default(),
             waiting: waiting::WaitingRoom::default(),
             trust: trust::HostTrust::default(),
+            slow_start: slow_start::SlowStart::default(),
             pace_ms: mean::LatestMean::default(),
             pause: pause::PauseGuard::new(&config.policy.recovery, now),
             balancers: collections::HashMap::new(),
@@ -128,7 +131,7 @@
         }
         match event {
             stream::StreamEvent::Segment(segment) if segment.head.flags.given_back => {
-                self.take_back(&segment, actions);
+                self.take_back(&segment, now, actions);
             }
             stream::StreamEvent::Segment(segment) => self.pass_out(&segment, now, actions),
             stream::StreamEvent::Message { from, message, head } => {
@@ -184,7 +187,7 @@
                     Some(stream) if self.held.is_open(*key) => message::StreamMessage::Held {
                         key: *key,
                         first_sequence: stream.first_sequence,
-                        load: self.load(),
+                        load: self.load(now),
                     },
                     _ => message::StreamMessage::Absent { key: *key, is_sure: self.is_sure(now) },
                 };
@@ -222,10 +225,13 @@
     }
 
     /// What is in progress at the backend server.
-    pub fn load(&self) -> load::LoadReport {
+    ///
+    /// One that is slow and has had its share for the moment is as full as one without a free slot.
+    pub fn load(&self, now: ids::UnixMillis) -> load::LoadReport {
         let slots = self.host.slots();
         let waiting = self.waiting.len() as u32;
-        let busy = self.held.busy() + waiting;
+        let least = if self.is_spent(now) { slots } else { 0 };
+        let busy = self.held.busy().max(least) + waiting;
         load::LoadReport {
             sequence: self.report_sequence,
             running: busy.min(slots),
@@ -277,6 +283,13 @@
         self.pace_ms.get().unwrap_or_default() as u64
     }
 
+    /// Whether the backend server is slow after its start, and has had its share for the moment.
+    fn is_spent(&self, now: ids::UnixMillis) -> bool {
+        let spec = self.state.service(self.config.service);
+        let margin = self.config.slow_start;
+        spec.is_some_and(|spec| self.slow_start.is_spent(&spec.rules, margin, now))
+    }
+
     fn limit_of_streams(&self) -> u32 {
         self.state.service(self.config.service).map_or(u32::MAX, |spec| spec.host_connections)
     }
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -47,7 +47,14 @@
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
+        let was_evacuated = self.evacuations.covers(self.config.data_centre);
         let outcome = self.evacuations.advance(&report.evacuations);
+        let is_evacuated = self.evacuations.covers(self.config.data_centre);
+        if was_evacuated && !is_evacuated {
+            let spec = self.state.service(self.config.service);
+            let rules = spec.map(|spec| spec.rules.clone()).unwrap_or_default();
+            self.slow_start.doubt(&rules, now);
+        }
         if outcome == evacuation::EvacuationOutcome::Changed {
             let note = note::StreamNote::evacuated(&self.evacuations);
             actions.push(stream::StreamAction::Note(note));
@@ -104,7 +111,7 @@
             service: self.config.service,
             data_centre: self.config.data_centre,
             phase: self.phase(now),
-            load: self.load(),
+            load: self.load(now),
             generation: self.state.generation(),
         })
     }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -21,6 +21,7 @@
 //! | [`pause`] | what a process does after it has stood still |
 //! | [`policy`] | the figures that decisions go by |
 //! | [`waiting`] | openings that wait at an agent for a free slot |
+//! | [`slow_start`] | how many streams a backend server takes while it is slow after its start |
 //! | [`trust`] | whether a backend server fails part of its requests |
 //! | [`lookup`] | the search for a stream whose owner is not known |
 //! | [`balancer`] | where a caller's segment goes, and what is refused |
@@ -41,6 +42,7 @@
 pub mod policy;
 pub mod report;
 pub mod segment;
+pub mod slow_start;
 pub mod trust;
 pub mod waiting;
 
@@ -150,6 +152,8 @@
     pub has_evacuations: bool,
     /// The service of the backend server beside this process, at an agent.
     pub service: ids::ServiceId,
+    /// What operators allow beyond the rate that a backend server bears while it is slow.
+    pub slow_start: slow_start::SlowStartMargin,
     /// How often the backend server reports, in milliseconds.
     pub host_report_ms: u64,
     /// How long a stream may stay open, in seconds.
--- a/crates/core/src/stream/report.rs
+++ b/crates/core/src/stream/report.rs
@@ -88,6 +88,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub is_draining: bool,
+    /// For how much longer it is slow after its start, in milliseconds.
+    pub slow_ms: u64,
 }
 
 /// The longest id of a backend server, in bytes: far more than any has, and an agent keeps some
--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -215,7 +215,7 @@
         }
         world.advance(7_000);
         for agent in world.agents.values() {
-            assert_eq!(agent.load().running, 0, "work is counted that nobody does");
+            assert_eq!(agent.load(world.now).running, 0, "work is counted that nobody does");
         }
         let keys: Vec<_> = world.callers.keys().copied().collect();
         for key in keys {
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -364,6 +364,7 @@
         service: "wallet".to_owned(),
         slots: 2,
         is_draining,
+        slow_ms: 0,
     };
     let mut state = host::HostState::default();
     let start = ids::UnixMillis(1_000);
@@ -434,7 +435,7 @@
     assert_eq!(keys.iter().filter(knows).count(), keys.len(), "nobody is held to the end");
     world.advance(6_000);
     for agent in world.agents.values() {
-        assert_eq!(agent.load().running + agent.load().queued, 0);
+        assert_eq!(agent.load(world.now).running + agent.load(world.now).queued, 0);
     }
     let key = world::key(500, 0);
     world.open(key, 0);
--- a/crates/core/tests/stream_world/hosts.rs
+++ b/crates/core/tests/stream_world/hosts.rs
@@ -37,6 +37,8 @@
     /// Answers nothing and reports nothing.
     pub(crate) is_dark: bool,
     pub(crate) is_draining: bool,
+    /// It is slow until then, and says so in its reports.
+    pub(crate) slow_until: ids::UnixMillis,
     /// Its agent has taken in that it is draining.
     pub(crate) drain_is_known: bool,
     pub(crate) reports: u64,
@@ -45,6 +47,8 @@
     pub(crate) reported: ids::UnixMillis,
     /// Openings that it took.
     pub(crate) openings: Vec<segment::StreamKey>,
+    /// When it took each of them while it was slow.
+    pub(crate) slow_openings: Vec<ids::UnixMillis>,
 }
 
 impl FakeHost {
@@ -93,6 +97,7 @@
             service: host.service.clone(),
             slots: host.slots,
             is_draining: host.is_draining,
+            slow_ms: host.slow_until.since(self.now),
         }
     }
 
@@ -169,6 +174,10 @@
             assert!(self.allowed.contains(&route), "{key} opens at {}", host.service);
             assert!(!host.drain_is_known, "{key} opens at a backend server that is leaving");
             host.openings.push(key);
+            if self.now < host.slow_until && !host.held.contains_key(&key) {
+                host.slow_openings.push(self.now);
+                super::oracle::check_slow_start(&host.slow_openings, self.slow_limit);
+            }
             let run = host.run as u32;
             let fresh = run.wrapping_mul(0x9e37_79b9) ^ u32::from(key.caller.port());
             let first = *host.held.entry(key).or_insert(fresh);
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -24,6 +24,7 @@
 use rosemaryusher_core::stream::note;
 use rosemaryusher_core::stream::policy;
 use rosemaryusher_core::stream::segment;
+use rosemaryusher_core::stream::slow_start;
 
 /// How long a message takes from process to process, in milliseconds.
 const DELAY_MS: u64 = 1;
@@ -136,6 +137,8 @@
     /// Every service that any configuration has named for an entry.
     allowed: collections::BTreeSet<(net::SocketAddrV4, String)>,
     announced: collections::BTreeSet<(net::SocketAddrV4, Option<ids::ServiceId>)>,
+    /// How many openings a slow backend server may get in a second.
+    pub(crate) slow_limit: usize,
     /// Whether operators may evacuate data centres.
     pub(crate) has_evacuations: bool,
     /// Whether the platform's list of evacuated data centres can be read.
@@ -173,6 +176,7 @@
             returned: collections::BTreeMap::new(),
             allowed: collections::BTreeSet::new(),
             announced: collections::BTreeSet::new(),
+            slow_limit: usize::MAX,
             has_evacuations: false,
             lists_evacuations: true,
             evacuated: Vec::new(),
@@ -244,6 +248,7 @@
             address,
             data_centre: ids::hash_centre(self.centre_of(address)),
             has_evacuations: self.has_evacuations,
+            slow_start: slow_start::SlowStartMargin::default(),
             service: ids::ServiceId::of_name(service),
             host_report_ms: HOST_REPORT_MS,
             stream_limit_s: 60,
--- a/crates/core/tests/stream_world/oracle.rs
+++ b/crates/core/tests/stream_world/oracle.rs
@@ -142,6 +142,13 @@
     }
 }
 
+/// The oracle of slow backend servers: not more than so many openings in any second, which slides.
+pub(super) fn check_slow_start(taken: &[ids::UnixMillis], limit: usize) {
+    let Some(last) = taken.last() else { return };
+    let lately = taken.iter().filter(|opening| last.since(**opening) < 1_000).count();
+    assert!(lately <= limit, "a slow backend server gets {lately} streams in a second");
+}
+
 /// A word that goes with a segment's number, and with no other.
 fn seal(index: u64) -> u64 {
     ids::mix_words(index, 0x5eed)
--- a/crates/node/src/stream/bodies.rs
+++ b/crates/node/src/stream/bodies.rs
@@ -22,8 +22,7 @@
     _data_centre: String,
     #[serde(rename = "version")]
     _version: String,
-    #[serde(rename = "slow_start_ms")]
-    _slow_start_ms: f64,
+    slow_start_ms: f64,
     slots: u32,
     state: ReportState,
     sequence: u64,
@@ -68,6 +67,7 @@
         service: body.service,
         slots: body.slots,
         is_draining: matches!(body.state, ReportState::Draining),
+        slow_ms: body.slow_start_ms.ceil() as u64,
     };
     report.check(own, state).map_err(|fault| fault.to_string())?;
     Ok(report)
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -14,6 +14,7 @@
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::agent;
 use rosemaryusher_core::stream::balancer;
+use rosemaryusher_core::stream::slow_start;
 use smol::channel;
 use smol::stream::StreamExt as _;
 
@@ -88,6 +89,10 @@
         address: own,
         data_centre: ids::hash_centre(&parts.settings.data_centre),
         has_evacuations: streams.evacuations,
+        slow_start: slow_start::SlowStartMargin {
+            overage: streams.slow_start_overage,
+            slack: streams.slow_start_slack,
+        },
         service: service.unwrap_or_default(),
         host_report_ms: streams.report_period_ms,
         stream_limit_s: streams.stream_limit_s,
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -101,7 +101,7 @@
             StreamRole::Agent(engine) => serde_json::json!({
                 "host": engine.phase(now),
                 "run": engine.host_run(),
-                "load": engine.load(),
+                "load": engine.load(now),
                 "streams": engine.streams(),
                 "hears_balancer": engine.hears_balancer(),
                 "evacuations": engine.evacuations(),
--- a/crates/node/src/stream/settings.rs
+++ b/crates/node/src/stream/settings.rs
@@ -37,6 +37,13 @@
     /// The region of each data centre, by the names of both.
     #[serde(default)]
     pub data_centres: collections::BTreeMap<String, String>,
+    /// By what factor a backend server that is slow after its start may get more streams than its service
+    /// says that it bears.
+    #[serde(default = "one")]
+    pub slow_start_overage: f64,
+    /// How many streams more it may get in any second.
+    #[serde(default)]
+    pub slow_start_slack: f64,
     /// Whether operators may evacuate data centres: the platform's list of them is followed.
     #[serde(default)]
     pub evacuations: bool,
@@ -47,6 +54,10 @@
     pub policy: policy::StreamPolicy,
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 impl StreamSettings {
     /// Finds every fault that types do not rule out.
     pub fn check(&self) -> Vec<String> {
@@ -64,6 +75,14 @@
         );
         need(self.stream_limit_s > 0, "stream_limit_s: is zero; give at least 1");
         need(self.grace_s >= 2, "grace_s: is too short; give at least 2");
+        need(
+            (0.01..=100.0).contains(&self.slow_start_overage),
+            "slow_start_overage: is out of range; use 0.01 to 100",
+        );
+        need(
+            (0.0..=1_000_000.0).contains(&self.slow_start_slack),
+            "slow_start_slack: is out of range; use 0 to 1000000",
+        );
         need(
             !self.evacuations || !self.data_centres.is_empty(),
             "data_centres: is empty; name those that may be evacuated, with their regions",
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -114,6 +114,9 @@
 evacuation-untold	crates/core/src/stream/balancer/neighbours.rs	s/self\.take_evacuations\(&report\.evacuations, now, actions\);//	-p rosemaryusher-core --test evacuate_restart told_by_another
 evacuations-unguarded	crates/core/src/stream/board.rs crates/core/src/stream/agent/admission.rs	s/self\.serves\(known, service, now\) && !self\.is_evacuated\(known\);/self.serves(known, service, now);/;s/_ if self\.evacuations\.covers\(self\.config\.data_centre\) => \{/_ if false => {/	-p rosemaryusher-core --test stream_fuzz evacuations_hold
 empty-watch-moves-on	platform/src/store.rs	s/Some\(changes\) if changes\.events\.is_empty\(\) => return Ok\(None\),/Some(changes) if changes.events.is_empty() => { self.revision.set(Some(changes.current_rev)); return Ok(None) }/	-p rosemaryusher-platform --test evacuated_zones missed_change
+cold-rate-unlimited	crates/core/src/stream/agent/admission.rs	s/self\.held\.busy\(\) >= limit \|\| self\.is_spent\(now\)/self.held.busy() >= limit/	-p rosemaryusher-core --test cold_rate others_take_over
+cold-share-untold	crates/core/src/stream/agent/mod.rs	s/if self\.is_spent\(now\) \{ slots \} else \{ 0 \}/if self.is_spent(now) { 0 } else { 0 }/	-p rosemaryusher-core --test cold_rate others_take_over
+cold-return-trusted	crates/core/src/stream/agent/neighbours.rs	s/self\.slow_start\.doubt\(&rules, now\);/let _ = rules;/	-p rosemaryusher-core --test cold_rate taken_back_cold
 TABLE
 }
 
