--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -55,7 +55,7 @@
 stream-lookup-skipped	crates/core/src/stream/balancer/routing.rs	s/let holders = board::PossibleHolders \{.*?\};/let _ = is_whole; let holders = board::PossibleHolders::default();/	-p rosemaryusher-core --test stream_moves balancer_replaced
 stream-reset-unsure	crates/core/src/stream/balancer/routing.rs	s/search\.is_whole && search\.is_answered\(\) && search\.asked > 0/true/	-p rosemaryusher-core --test stream_moves agent_unheard
 stream-agent-always-sure	crates/core/src/stream/agent/mod.rs	s/self\.has_seen_all \|\| is_old/true || is_old/	-p rosemaryusher-core --test stream_moves agent_restarted
-stream-halves-not-told	crates/core/src/stream/held.rs	s/self\.first_sequence\.is_none_or\(is_near\)/self.first_sequence.is_none_or(|first| is_near(first) || true)/	-p rosemaryusher-core --test stream_moves halves_told_apart
+stream-halves-not-told	crates/core/src/stream/held.rs	s/self\.first_sequence\.is_none_or\(is_near\)/self.first_sequence.is_none_or(|first| is_near(first) || true)/	-p rosemaryusher-core --test stream_halves halves_told_apart
 stream-hang-unnoticed	crates/core/src/stream/agent/mod.rs	s/self\.give_back_unanswered\(now, actions\);//	-p rosemaryusher-core --test stream_moves host_hangs
 stream-dead-run-silent	crates/core/src/stream/agent/hosting.rs	s/actions\.push\(stream::StreamAction::Reset\(\*key, stream\.caller_expects\)\);/let _ = (key, stream);/	-p rosemaryusher-core --test stream_moves host_crashed
 stream-early-opening-forgotten	crates/core/src/stream/held.rs	s/stream\.opened <= limit/stream.opened <= limit || true/	-p rosemaryusher-core --test stream_moves early_opening
