Callers of a data centre that is lost are told at the first segment they repeat

Ruled out: resetting all its streams when a data centre falls silent: packets may pass one way only, and its streams then go on; taking single agents for lost in the same way: one that is restarted looks like it, and its backend server lives.

Change: balancers say which data centres they hear. One that nobody has heard for 1.5 s, with three processes at least, is lost; a caller that then repeats unacknowledged contents is reset, and searches do not wait for agents there. With 1.0 s the new test of restarted agents failed: the last report before a restart may be 0.3 s old.

Tests: zone_lost (five; four mutants).

--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -1,5 +1,6 @@
 //! Where a caller's segment goes, and what is refused.
 
+mod centres;
 mod evacuations;
 mod neighbours;
 mod openings;
@@ -45,8 +46,12 @@
 /// the first three watch the platform, and one that is lost must soon have a successor.
 const PEER_REPORT_MS: u64 = 400;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct PeerBalancer {
+    /// Its data centre, once it has been heard.
+    data_centre: Option<u32>,
+    /// The data centres that it hears.
+    hears: Vec<u32>,
     heard: ids::UnixMillis,
     is_heard: bool,
     is_leaving: bool,
@@ -65,6 +70,8 @@
     parked: parked::ParkedOpenings,
     pause: pause::PauseGuard,
     peers: collections::BTreeMap<net::SocketAddrV4, PeerBalancer>,
+    /// Data centres that nobody hears any more.
+    lost_centres: collections::BTreeSet<u32>,
     random: rngs::SmallRng,
     /// Whether the list of announced processes has been read in this run.
     knows_members: bool,
@@ -91,6 +98,7 @@
             parked: parked::ParkedOpenings::default(),
             pause: pause::PauseGuard::new(&config.policy.recovery, now),
             peers: collections::BTreeMap::new(),
+            lost_centres: collections::BTreeSet::new(),
             random: rngs::SmallRng::seed_from_u64(config.seed),
             knows_members: false,
             reported: ids::UnixMillis(0),
@@ -201,6 +209,7 @@
                 }));
             }
         }
+        self.find_lost_centres(now, actions);
         self.note_unknown_evacuations(now, actions);
         self.place_parked(now, actions);
         self.owners.turn(now);
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -65,6 +65,8 @@
         if let Some(peer) = self.peers.get_mut(&from) {
             let is_news = !peer.is_heard;
             *peer = balancer::PeerBalancer {
+                data_centre: Some(report.data_centre),
+                hears: report.hears.clone(),
                 heard: now,
                 is_heard: true,
                 is_leaving: report.is_leaving,
@@ -118,6 +120,8 @@
     pub(super) fn meet(&mut self, balancer: net::SocketAddrV4, now: ids::UnixMillis) {
         if balancer != self.config.address {
             self.peers.entry(balancer).or_insert(balancer::PeerBalancer {
+                data_centre: None,
+                hears: Vec::new(),
                 heard: now,
                 is_heard: false,
                 is_leaving: false,
@@ -182,6 +186,7 @@
             generation: self.state.generation(),
             is_leaving: self.is_leaving,
             reaches_platform: self.reaches_platform && !self.is_leaving,
+            hears: self.heard_centres(),
             evacuations: self.evacuations.clone(),
         })
     }
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -11,6 +11,7 @@
 use crate::stream::note;
 use crate::stream::owners;
 use crate::stream::segment;
+use crate::stream::sent;
 
 impl balancer::StreamBalancer {
     pub(super) fn take_segment(
@@ -33,10 +34,19 @@
         let target = self.owners.touch(key).and_then(|owner| {
             owner.is_ended |= segment.head.flags.ends || segment.head.flags.resets;
             owner.guess_next(now);
-            owner.target(segment.head.acknowledged)
+            let is_repeated = sent::SentContents::note(&mut owner.sent, &segment.head, now);
+            owner.target(segment.head.acknowledged).map(|agent| (agent, is_repeated))
         });
         match target {
-            Some(agent) => self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key),
+            // Its backend server is gone with its data centre, and what the caller sent is not
+            // acknowledged. Told now, it is answered within its aim; it would wait for its deadline.
+            Some((agent, true)) if self.is_lost(agent) => {
+                let expected = segment.head.acknowledged;
+                self.reset(key, expected, note::ResetReason::CentreLost, actions);
+            }
+            Some((agent, _)) => {
+                self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key);
+            }
             None => self.search(key, service, segment, now, actions),
         }
     }
@@ -71,7 +81,10 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let is_whole = self.knows_members;
-        let holders = board::PossibleHolders { is_whole, ..self.board.holders(service, now) };
+        let holders = board::PossibleHolders {
+            is_whole,
+            ..self.board.holders(service, &self.lost_centres, now)
+        };
         let asked = holders.agents.len();
         let outcome = self.searches.wait(key, service, &holders, segment, now);
         if outcome != lookup::WaitOutcome::Began {
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -209,10 +209,39 @@
         self.agents.iter().filter(|(_, known)| known.is_heard).map(|(address, _)| *address)
     }
 
-    /// Agents that may hold a stream of a service.
+    /// The data centres of which any agent is heard.
+    pub fn heard_centres(&self) -> impl Iterator<Item = u32> {
+        let heard = self.agents.values().filter(|known| known.is_heard);
+        heard.filter_map(|known| known.report.as_ref().map(|report| report.data_centre))
+    }
+
+    /// How many agents that were heard once are in a data centre.
+    pub fn agents_in(&self, data_centre: u32) -> usize {
+        self.agents.values().filter(|known| known.is_in(data_centre)).count()
+    }
+
+    /// The data centres whose agents were heard once and have all been silent for so long, while this
+    /// balancer has heard most others.
+    pub fn silent_centres(
+        &self,
+        silent_ms: u64,
+        now: ids::UnixMillis,
+    ) -> collections::BTreeSet<u32> {
+        let mut last_heard = collections::BTreeMap::<u32, ids::UnixMillis>::new();
+        for known in self.agents.values() {
+            let Some(report) = &known.report else { continue };
+            let last = last_heard.entry(report.data_centre).or_insert(self.in_contact);
+            *last = (*last).max(known.heard);
+        }
+        let silent = last_heard.into_iter().filter(|(_, last)| now.since(*last) >= silent_ms);
+        silent.map(|(centre, _)| centre).collect()
+    }
+
+    /// Agents that may hold a stream of a service, but for those in data centres that are lost.
     pub fn holders(
         &self,
         service: Option<ids::ServiceId>,
+        lost_centres: &collections::BTreeSet<u32>,
         now: ids::UnixMillis,
     ) -> PossibleHolders {
         let mut holders = PossibleHolders::default();
@@ -221,6 +250,9 @@
                 // Its backend server's run has ended, and every stream with it.
                 Some(report) if report.phase == host::HostPhase::Gone => {}
                 Some(report) if service.is_some_and(|service| report.service != service) => {}
+                Some(report) if lost_centres.contains(&report.data_centre) => {
+                    holders.has_lost = true;
+                }
                 None if now.since(known.heard.max(self.in_contact))
                     > u64::from(self.policy.recovery.lost_ms) =>
                 {
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -117,6 +117,8 @@
     pub is_leaving: bool,
     /// Whether its last call to the platform succeeded.
     pub reaches_platform: bool,
+    /// The data centres that it hears any process of.
+    pub hears: Vec<u32>,
     /// The evacuated data centres that it knows of: a few names, most often none.
     pub evacuations: evacuation::EvacuationState,
 }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -21,6 +21,7 @@
 //! | [`pause`] | what a process does after it has stood still |
 //! | [`policy`] | the figures that decisions go by |
 //! | [`waiting`] | openings that wait at an agent for a free slot |
+//! | [`sent`] | whether a caller repeats what it sent last on a stream |
 //! | [`slow_start`] | how many streams a backend server takes while it is slow after its start |
 //! | [`trust`] | whether a backend server fails part of its requests |
 //! | [`lookup`] | the search for a stream whose owner is not known |
@@ -42,6 +43,7 @@
 pub mod policy;
 pub mod report;
 pub mod segment;
+pub mod sent;
 pub mod slow_start;
 pub mod trust;
 pub mod waiting;
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -23,6 +23,8 @@
     NoAgent,
     /// Every agent that could take the opening is in an evacuated data centre.
     Evacuated,
+    /// The data centre of the backend server that held the stream is lost.
+    CentreLost,
     /// Every agent of the service is in a region that the configuration does not allow.
     OtherRegion,
     /// The run of the backend server that held the stream is over.
@@ -39,6 +41,7 @@
             ResetReason::AllRefused => "all_refused",
             ResetReason::NoAgent => "no_agent",
             ResetReason::Evacuated => "evacuated",
+            ResetReason::CentreLost => "centre_lost",
             ResetReason::OtherRegion => "other_region",
             ResetReason::RunOver => "run_over",
             ResetReason::HeldNowhere => "held_nowhere",
@@ -177,6 +180,13 @@
         /// Whether it is heard.
         is_heard: bool,
     },
+    /// A data centre is lost: nobody hears any process there. Or it is back.
+    CentreChanged {
+        /// A hash of its name.
+        data_centre: u32,
+        /// Whether it is lost.
+        is_lost: bool,
+    },
     /// The process has stood still; openings are passed over for a moment.
     Resumed {
         /// For how long, in milliseconds.
@@ -211,6 +221,7 @@
                 | StreamNote::StaleReport { .. }
                 | StreamNote::LeaveDoubted { .. }
                 | StreamNote::BalancerChanged { .. }
+                | StreamNote::CentreChanged { .. }
                 | StreamNote::Resumed { .. }
                 | StreamNote::ConfigInForce { .. }
                 | StreamNote::EvacuationsChanged { .. }
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -8,6 +8,7 @@
 
 use crate::ids;
 use crate::stream::segment;
+use crate::stream::sent;
 
 /// How long an entry that is not used stays at least, in milliseconds.
 ///
@@ -66,6 +67,8 @@
     pub search: SearchState,
     /// When the candidate that stands for the holder was chosen.
     pub guessed: ids::UnixMillis,
+    /// The contents that the caller sent last.
+    pub sent: Option<sent::SentContents>,
     /// Whether the caller has ended it.
     pub is_ended: bool,
 }
@@ -82,6 +85,7 @@
             candidates: Vec::new(),
             search: SearchState::NotSearched,
             guessed: now,
+            sent: None,
             is_ended: false,
         }
     }
--- a/crates/core/tests/stream_world/callers.rs
+++ b/crates/core/tests/stream_world/callers.rs
@@ -36,6 +36,14 @@
         self.send_segment(key, flags, acknowledged, 100);
     }
 
+    /// Sends the last request once more, as a caller does that has no answer.
+    pub(crate) fn repeat(&mut self, key: segment::StreamKey) {
+        let acknowledged = self.callers[&key].first.unwrap_or(0).wrapping_add(1);
+        let flags =
+            segment::SegmentFlags { acknowledges: true, ..segment::SegmentFlags::default() };
+        self.send_segment(key, flags, acknowledged, 100);
+    }
+
     /// Ends a stream.
     pub(crate) fn end(&mut self, key: segment::StreamKey) {
         let acknowledged = self.callers[&key].first.unwrap_or(0).wrapping_add(1);
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -123,6 +123,8 @@
     pub(crate) notes: Vec<note::StreamNote>,
     /// Processes that no message reaches or leaves.
     pub(crate) cut: collections::BTreeSet<net::SocketAddrV4>,
+    /// Pairs of processes of which the second does not hear the first.
+    pub(crate) unheard: collections::BTreeSet<(net::SocketAddrV4, net::SocketAddrV4)>,
     /// Processes that stand still, and what waits for them.
     pub(crate) frozen: collections::BTreeSet<net::SocketAddrV4>,
     waiting: Vec<Envelope>,
@@ -168,6 +170,7 @@
             callers: collections::BTreeMap::new(),
             notes: Vec::new(),
             cut: collections::BTreeSet::new(),
+            unheard: collections::BTreeSet::new(),
             frozen: collections::BTreeSet::new(),
             waiting: Vec::new(),
             entry_balancer: balancer_address(1),
@@ -387,7 +390,8 @@
         to: net::SocketAddrV4,
         message: &message::StreamMessage,
     ) {
-        if self.cut.contains(&from) || self.cut.contains(&to) {
+        let is_cut = self.cut.contains(&from) || self.cut.contains(&to);
+        if is_cut || self.unheard.contains(&(from, to)) {
             return;
         }
         let head = match message {
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -119,6 +119,10 @@
 cold-return-trusted	crates/core/src/stream/agent/neighbours.rs	s/self\.slow_start\.doubt\(&rules, now\);/let _ = rules;/	-p rosemaryusher-core --test cold_rate taken_back_cold
 home-not-kept	crates/core/src/stream/board.rs	s/\(\) if !needs\.regions\.is_empty\(\) && !is_allowed\(\) => Some\(PlaceExclusion::OtherRegion\),/() if !needs.regions.is_empty() \&\& !is_allowed() => None,/	-p rosemaryusher-core --test homes_kept home_alone
 home-taken-anyway	crates/core/src/stream/agent/admission.rs	s/_ if !self\.is_allowed_here\(key\) => /_ if false \&\& !self.is_allowed_here(key) => /	-p rosemaryusher-core --test homes_kept agent_turns_away
+zone-lost-untold	crates/core/src/stream/balancer/routing.rs	s/Some\(\(agent, true\)\) if self\.is_lost\(agent\) => \{/Some((agent, true)) if false \&\& self.is_lost(agent) => {/	-p rosemaryusher-core --test zone_lost callers_told
+zone-lost-waited-for	crates/core/src/stream/board.rs	s/Some\(report\) if lost_centres\.contains\(&report\.data_centre\) => \{/Some(report) if false \&\& lost_centres.contains(\&report.data_centre) => {/	-p rosemaryusher-core --test zone_lost moved_callers_told
+zone-heard-by-others-ignored	crates/core/src/stream/balancer/centres.rs	s/Some\(\*centre\) != peer\.data_centre && !peer\.hears\.contains\(centre\)/Some(*centre) != peer.data_centre || !peer.hears.contains(centre)/	-p rosemaryusher-core --test zone_lost heard_by_another
+zone-lost-too-soon	crates/core/src/stream/balancer/centres.rs	s/const LOST_MS: u64 = 1_500/const LOST_MS: u64 = 1_000/	-p rosemaryusher-core --test zone_lost agents_restarted
 TABLE
 }
 
