After a loss of power, machines without power are not waited for

Ruled out: waiting for less than 2 s (a restart takes 0.7, and a stream that is open would be reset); taking a machine that does not answer for gone at any time: one that is cut off looks the same, and stream_moves::agent_unheard failed.

Change: a balancer looks whether the machine of an announced agent that it has never heard answers a connection, if only to refuse it. One that does not, twice, that no other balancer hears, is not waited for where half of all backend servers have begun together with this balancer: they lost power with it.

Tests: stream_search::machine_without_power (failed first), machine_refuses, heard_by_another; two mutants.

--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -44,6 +44,7 @@
             }
             host::ReportOutcome::Changed if is_first_heard && self.has_just_begun(report) => {
                 self.has_seen_all = true;
+                self.host_began = now;
             }
             // Whether an earlier run of the agent handed it streams is not known.
             host::ReportOutcome::Changed => {}
@@ -56,6 +57,7 @@
             host::ReportOutcome::Replaced { alive_at } => {
                 reset = self.reset_opened_until(alive_at, actions);
                 self.has_seen_all = true;
+                self.host_began = now;
                 self.trust_anew();
             }
         }
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -86,6 +86,8 @@
     started: ids::UnixMillis,
     /// Whether every stream of the backend server was opened under this run of the agent.
     has_seen_all: bool,
+    /// When the backend server's run began, if that was seen; else zero.
+    host_began: ids::UnixMillis,
     silent_until: ids::UnixMillis,
     /// When it was last asked to see whether the backend server is there.
     probed: ids::UnixMillis,
@@ -111,6 +113,7 @@
             balancers: collections::HashMap::new(),
             started: now,
             has_seen_all: false,
+            host_began: ids::UnixMillis(0),
             silent_until: ids::UnixMillis(0),
             probed: ids::UnixMillis(0),
             reported: ids::UnixMillis(0),
@@ -153,7 +156,9 @@
                 self.meet(&balancers, now, actions);
             }
             // Agents hear of them by balancers.
-            stream::StreamEvent::Evacuations(_) | stream::StreamEvent::Platform(_) => {}
+            stream::StreamEvent::Evacuations(_)
+            | stream::StreamEvent::MachineLooked { .. }
+            | stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
             stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
             stream::StreamEvent::HostVanished => self.host_vanished(now, actions),
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -9,6 +9,10 @@
 use crate::stream::message;
 use crate::stream::note;
 
+/// For how long balancers are told the age of a backend server that has just begun, in milliseconds:
+/// longer than those that lost power with it take to start and to hear of it.
+const HOST_NEW_MS: u64 = 5_000;
+
 impl agent::StreamAgent {
     pub(super) fn meet(
         &mut self,
@@ -111,6 +115,9 @@
             service: self.config.service,
             data_centre: self.config.data_centre,
             phase: self.phase(now),
+            host_age_ms: Some(now.since(self.host_began))
+                .filter(|age_ms| *age_ms < HOST_NEW_MS)
+                .map(|age_ms| age_ms as u32),
             load: self.load(now),
             generation: self.state.generation(),
         })
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -91,7 +91,7 @@
     pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamBalancer {
         StreamBalancer {
             state: sync::Arc::default(),
-            board: board::AgentBoard::new(&config),
+            board: board::AgentBoard::new(&config, now),
             evacuations: evacuation::EvacuationState::default(),
             owners: owners::StreamOwners::default(),
             searches: lookup::OwnerSearches::default(),
@@ -151,6 +151,9 @@
             }
             stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
+            stream::StreamEvent::MachineLooked { agent, is_there } => {
+                self.board.note_machine(agent, is_there);
+            }
             stream::StreamEvent::HostReport(_)
             | stream::StreamEvent::HostLeft(_)
             | stream::StreamEvent::HostVanished => {}
@@ -210,6 +213,8 @@
             }
         }
         self.find_lost_centres(now, actions);
+        let due_looks = self.board.take_due_looks(now).into_iter();
+        actions.extend(due_looks.map(stream::StreamAction::LookAtMachine));
         self.note_unknown_evacuations(now, actions);
         self.place_parked(now, actions);
         self.owners.turn(now);
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -100,6 +100,7 @@
                 self.board.note_address(*agent, now);
                 actions.push(stream::StreamAction::Tell(*agent, self.own_report()));
             }
+            self.board.note_told(*agent, now);
         }
     }
 
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -10,6 +10,7 @@
 use crate::stream;
 use crate::stream::evacuation;
 use crate::stream::host;
+use crate::stream::machine;
 use crate::stream::message;
 use crate::stream::policy;
 
@@ -18,6 +19,10 @@
 /// Its backend server may still hold streams, and it may come back at the same address.
 const KEPT_MS: u64 = 30_000;
 
+/// How much earlier than a balancer the backend servers begin that lost their power with it, in
+/// milliseconds: machines come back within 300 of each other.
+const TOGETHER_MS: u64 = 500;
+
 /// What is known of one agent.
 #[derive(Clone, Debug)]
 pub struct KnownAgent {
@@ -28,6 +33,7 @@
     /// Whether it counted as heard when that was last looked at.
     pub is_heard: bool,
     sent_since: u32,
+    machine: machine::MachineDoubt,
 }
 
 impl KnownAgent {
@@ -88,17 +94,19 @@
     /// Data centres that get no new streams.
     evacuated: collections::BTreeSet<u32>,
     policy: policy::StreamPolicy,
+    started: ids::UnixMillis,
     /// Since when this balancer has heard most agents without a break.
     in_contact: ids::UnixMillis,
 }
 
 impl AgentBoard {
     /// A board for a balancer.
-    pub fn new(config: &stream::StreamConfig) -> AgentBoard {
+    pub fn new(config: &stream::StreamConfig, now: ids::UnixMillis) -> AgentBoard {
         AgentBoard {
             data_centre: config.data_centre,
             regions: config.regions.clone(),
             policy: config.policy,
+            started: now,
             ..AgentBoard::default()
         }
     }
@@ -122,8 +130,7 @@
             .as_ref()
             .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
         let is_news = !is_same || !known.is_heard;
-        *known =
-            KnownAgent { report: Some(report.clone()), heard: now, is_heard: true, sent_since: 0 };
+        *known = KnownAgent { report: Some(report.clone()), is_heard: true, ..unheard(now) };
         is_news
     }
 
@@ -168,11 +175,36 @@
         self.agents.entry(agent).or_insert_with(|| unheard(now));
     }
 
+    /// Notes that another balancer hears an agent.
+    pub fn note_told(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.machine.note_told(now);
+        }
+    }
+
+    /// The agents whose machines are to be looked at now: announced ones that were never heard.
+    pub fn take_due_looks(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        let mut due = Vec::new();
+        for (agent, known) in &mut self.agents {
+            if known.report.is_none() && known.machine.is_look_due(known.heard, now) {
+                known.machine.note_look(now);
+                due.push(*agent);
+            }
+        }
+        due
+    }
+
+    /// Takes in whether the machine of an agent answered.
+    pub fn note_machine(&mut self, agent: net::SocketAddrV4, is_there: bool) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.machine.note_outcome(is_there);
+        }
+    }
+
     /// Forgets agents unheard for long; gives back those that have just stopped being heard.
     pub fn sweep(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
         self.agents.retain(|_, known| now.since(known.heard) <= KEPT_MS);
-        let heard = self.agents.values().filter(|known| known.is_heard).count();
-        if 2 * heard < self.agents.len() {
+        if !self.hears_most() {
             self.lose_contact(now);
         }
         let mut silent = Vec::new();
@@ -253,11 +285,7 @@
                 Some(report) if lost_centres.contains(&report.data_centre) => {
                     holders.has_lost = true;
                 }
-                None if now.since(known.heard.max(self.in_contact))
-                    > u64::from(self.policy.recovery.lost_ms) =>
-                {
-                    holders.has_lost = true;
-                }
+                None if self.is_taken_as_lost(known, now) => holders.has_lost = true,
                 // One of which nothing is known may be of the service.
                 _ => holders.agents.push(*address),
             }
@@ -265,6 +293,34 @@
         holders
     }
 
+    /// Whether an agent that was never heard is taken as lost: its machine is not there, or it has been
+    /// silent for longer than a restart takes.
+    ///
+    /// A machine that is cut off looks like one without power, and its streams may be open: it counts
+    /// as not there only where most backend servers have begun together with this balancer, after a loss
+    /// of power.
+    fn is_taken_as_lost(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
+        let unheard_ms = now.since(known.heard.max(self.in_contact));
+        let is_overdue = unheard_ms > u64::from(self.policy.recovery.lost_ms);
+        is_overdue || (known.machine.is_gone(now) && self.is_after_power_loss(now))
+    }
+
+    /// Whether half of the agents are heard, and have backend servers that began when this balancer did.
+    fn is_after_power_loss(&self, now: ids::UnixMillis) -> bool {
+        let own_age_ms = now.since(self.started);
+        let began_with_it = |known: &&KnownAgent| {
+            let age_ms = known.report.as_ref().and_then(|report| report.host_age_ms);
+            let age_ms = age_ms.map(|age_ms| u64::from(age_ms) + now.since(known.heard));
+            known.is_heard && age_ms.is_some_and(|age_ms| age_ms <= own_age_ms + TOGETHER_MS)
+        };
+        2 * self.agents.values().filter(began_with_it).count() >= self.agents.len()
+    }
+
+    fn hears_most(&self) -> bool {
+        let heard = self.agents.values().filter(|known| known.is_heard).count();
+        2 * heard >= self.agents.len()
+    }
+
     /// What is known of one agent.
     pub fn get(&self, agent: net::SocketAddrV4) -> Option<&KnownAgent> {
         self.agents.get(&agent)
@@ -379,7 +435,13 @@
 }
 
 fn unheard(now: ids::UnixMillis) -> KnownAgent {
-    KnownAgent { report: None, heard: now, is_heard: false, sent_since: 0 }
+    KnownAgent {
+        report: None,
+        heard: now,
+        is_heard: false,
+        sent_since: 0,
+        machine: machine::MachineDoubt::default(),
+    }
 }
 
 fn busy(known: &KnownAgent) -> u32 {
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -100,6 +100,9 @@
     pub data_centre: u32,
     /// Whether the backend server takes new streams.
     pub phase: host::HostPhase,
+    /// For how long the backend server has run, in milliseconds, where it has just begun and that was
+    /// seen: whatever it held before is gone.
+    pub host_age_ms: Option<u32>,
     /// What is in progress there.
     pub load: load::LoadReport,
     /// The generation of the configuration that the agent holds.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -14,6 +14,7 @@
 //! | [`held`] | the streams that one backend server holds, and the work in progress there |
 //! | [`agent`] | what one backend server is handed, and what it gives back |
 //! | [`board`] | what one balancer knows of every agent |
+//! | [`machine`] | whether the machine of an agent that was never heard is there |
 //! | [`mean`] | the mean of the latest samples of something that changes |
 //! | [`note`] | what a decision tells the log |
 //! | [`owners`] | which agent one balancer sends each stream to |
@@ -34,6 +35,7 @@
 pub mod held;
 pub mod host;
 pub mod lookup;
+pub mod machine;
 pub mod mean;
 pub mod message;
 pub mod note;
@@ -86,6 +88,13 @@
     HostReport(report::HostReport),
     /// A run of the backend server has left; the word may name its id alone.
     HostLeft(report::HostRun),
+    /// Whether the machine of an announced agent answered a connection, if only to refuse it.
+    MachineLooked {
+        /// Where the agent takes messages.
+        agent: net::SocketAddrV4,
+        /// Whether it answered.
+        is_there: bool,
+    },
     /// Nothing listens at the backend server's address, on this process's own machine.
     HostVanished,
     /// Shut down.
@@ -127,6 +136,8 @@
     FetchConfig(net::SocketAddrV4),
     /// See whether anything listens at the backend server's address.
     ProbeHost,
+    /// See whether the machine of an announced agent answers a connection.
+    LookAtMachine(net::SocketAddrV4),
     /// Count how long something took.
     Measure(StreamTiming),
     /// Log what was decided.
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -241,3 +241,64 @@
     let strangers: u64 = world.hosts.values().map(|host| host.strangers).sum();
     assert_eq!(strangers, u64::from(HOSTS));
 }
+
+/// Everything loses power, and one machine does not come back: its announcement is left behind. A caller
+/// sends on its dead stream a moment after the return. The machine does not answer any connection, so
+/// nobody waits for its agent's word, and the caller can try again within its aim.
+#[test]
+fn machine_without_power() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    world.kill_host(HOSTS);
+    world.remove_agent(HOSTS);
+    world.off.insert(world::agent_address(HOSTS));
+    world.lose_power(1..HOSTS);
+    world.start_balancer(2);
+    world.advance(400);
+    world.send(key);
+    world.advance(60);
+    assert_eq!(world.view(key).resets, 1);
+}
+
+/// The same, and the machine has power: its agent is being restarted beside a backend server that lives and
+/// holds the stream. The machine refuses connections, so the agent's word is waited for, and the stream
+/// goes on.
+#[test]
+fn machine_refuses() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let holder = world.holders(key)[0];
+    world.remove_agent(holder);
+    world.start_balancer(1);
+    world.advance(700);
+    world.send(key);
+    world.advance(60);
+    assert_eq!(world.view(key).resets, 0);
+    world.start_agent(holder, "wallet");
+    world.advance(200);
+    world.repeat(key);
+    world.advance(300);
+    assert_eq!((world.view(key).answers >= 1, world.view(key).resets), (true, 0));
+}
+
+/// A balancer starts while packets of one agent do not reach it, nor does its machine's answer. Another
+/// balancer hears that agent and says so: its streams are not taken for dead.
+#[test]
+fn heard_by_another() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let holder = world::agent_address(world.holders(key)[0]);
+    world.unheard.insert((holder, world::balancer_address(1)));
+    world.off.insert(holder);
+    world.start_balancer(1);
+    world.advance(700);
+    world.send(key);
+    world.advance(300);
+    assert_eq!(world.view(key).resets, 0);
+}
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -32,6 +32,9 @@
 /// How far from what a caller expects a reset's number may be.
 const RESET_WINDOW: u32 = 76_800;
 
+/// How long it takes to see whether a machine answers, in milliseconds.
+const LOOK_MS: u64 = 100;
+
 /// The port that every process takes messages at.
 const PORT: u16 = 7_000;
 
@@ -97,6 +100,7 @@
     FromHost { agent: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
     ToCaller { caller: net::Ipv4Addr, bytes: Vec<u8> },
     FromCaller { balancer: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
+    Looked { balancer: net::SocketAddrV4, agent: net::SocketAddrV4, is_there: bool },
 }
 
 impl Envelope {
@@ -105,7 +109,9 @@
         match self {
             Envelope::Message { to, .. } => Some(*to),
             Envelope::FromHost { agent, .. } => Some(*agent),
-            Envelope::FromCaller { balancer, .. } => Some(*balancer),
+            Envelope::FromCaller { balancer, .. } | Envelope::Looked { balancer, .. } => {
+                Some(*balancer)
+            }
             Envelope::ToHost { .. } | Envelope::ToCaller { .. } => None,
         }
     }
@@ -123,6 +129,8 @@
     pub(crate) notes: Vec<note::StreamNote>,
     /// Processes that no message reaches or leaves.
     pub(crate) cut: collections::BTreeSet<net::SocketAddrV4>,
+    /// Agents whose machines have no power.
+    pub(crate) off: collections::BTreeSet<net::SocketAddrV4>,
     /// Pairs of processes of which the second does not hear the first.
     pub(crate) unheard: collections::BTreeSet<(net::SocketAddrV4, net::SocketAddrV4)>,
     /// Processes that stand still, and what waits for them.
@@ -170,6 +178,7 @@
             callers: collections::BTreeMap::new(),
             notes: Vec::new(),
             cut: collections::BTreeSet::new(),
+            off: collections::BTreeSet::new(),
             unheard: collections::BTreeSet::new(),
             frozen: collections::BTreeSet::new(),
             waiting: Vec::new(),
@@ -380,6 +389,9 @@
                     self.deliver_segment(balancer, head, &bytes);
                 }
                 Envelope::ToCaller { caller, bytes } => self.deliver_to_caller(caller, &bytes),
+                Envelope::Looked { balancer, agent, is_there } => {
+                    self.handle(balancer, stream::StreamEvent::MachineLooked { agent, is_there });
+                }
             }
         }
     }
@@ -459,6 +471,10 @@
                 view.resets += 1;
             }
             stream::StreamAction::FetchConfig(_) => self.deliver_config(address),
+            stream::StreamAction::LookAtMachine(agent) => {
+                let is_there = !self.off.contains(&agent) && !self.cut.contains(&agent);
+                self.post(LOOK_MS, Envelope::Looked { balancer: address, agent, is_there });
+            }
             stream::StreamAction::ProbeHost => {
                 if !self.hosts.contains_key(&address) {
                     self.handle(address, stream::StreamEvent::HostVanished);
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -30,6 +30,7 @@
 use crate::stream::edge;
 use crate::stream::hub;
 use crate::stream::journal;
+use crate::stream::machines;
 use crate::stream::packets;
 use crate::stream::role;
 use crate::stream::status;
@@ -109,6 +110,7 @@
     let (inputs, input_ends) = rings::ring();
     let (fetches, fetch_ends) = channel::bounded(1);
     let (probes, probe_ends) = channel::bounded(1);
+    let (looks, look_ends) = channel::bounded(machines::LOOK_PLACES);
     let status = sync::Arc::new(status::StreamStatus::default());
     let packets = packets::PacketThread {
         engine,
@@ -121,6 +123,7 @@
         inputs: input_ends,
         fetches,
         probes,
+        looks,
         status: status.clone(),
         journal: journal::StreamJournal::new(clock.now()),
         tally: tally::MessageTally::default(),
@@ -163,6 +166,7 @@
     smol::block_on(executor.run(async {
         control::start(&hub, fetch_ends).await?;
         executor.spawn(backend::watch(hub.clone(), probe_ends)).detach();
+        executor.spawn(machines::watch(hub.clone(), look_ends)).detach();
         serve_signals(&hub, signals).await?;
         leave(&hub).await;
         Ok(())
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -11,6 +11,7 @@
 //! | `announce` | a process's announcement on the platform, and the list of those of the others |
 //! | `follow` | what is followed on the platform, and by whom |
 //! | `hub` | what the duties of that thread share |
+//! | `machines` | whether the machines of agents that were never heard answer |
 //! | `pauses` | pauses between calls to the platform |
 //! | `routes` | calls of other processes, of the backend server and of operators |
 //! | `journal` | log lines and metrics of decisions, bounded |
@@ -26,6 +27,7 @@
 mod follow;
 mod hub;
 mod journal;
+mod machines;
 mod packets;
 mod pauses;
 pub mod role;
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -55,6 +55,13 @@
     HostReport(report::HostReport),
     /// A run of the backend server has left.
     HostLeft(report::HostRun),
+    /// Whether the machine of an announced agent answered a connection.
+    MachineLooked {
+        /// Where the agent takes messages.
+        agent: net::SocketAddrV4,
+        /// Whether it answered.
+        is_there: bool,
+    },
     /// Nothing listens at the backend server's address.
     HostVanished,
     /// Shut down.
@@ -79,6 +86,8 @@
     pub(crate) fetches: channel::Sender<net::SocketAddrV4>,
     /// Asks to see whether the backend server is there.
     pub(crate) probes: channel::Sender<()>,
+    /// Agents whose machines are to be looked at.
+    pub(crate) looks: channel::Sender<net::SocketAddrV4>,
     pub(crate) status: sync::Arc<status::StreamStatus>,
     pub(crate) journal: journal::StreamJournal,
     pub(crate) tally: tally::MessageTally,
@@ -241,6 +250,9 @@
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
             StreamInput::HostLeft(run) => stream::StreamEvent::HostLeft(run),
+            StreamInput::MachineLooked { agent, is_there } => {
+                stream::StreamEvent::MachineLooked { agent, is_there }
+            }
             StreamInput::HostVanished => stream::StreamEvent::HostVanished,
             StreamInput::Leave => stream::StreamEvent::Leave,
             StreamInput::Dump(reply) => {
@@ -292,6 +304,8 @@
                 stream::StreamAction::FetchConfig(from) => drop(self.fetches.try_send(from)),
                 // One is under way if the ring is full.
                 stream::StreamAction::ProbeHost => drop(self.probes.try_send(())),
+                // One that finds the ring full is asked for again.
+                stream::StreamAction::LookAtMachine(agent) => drop(self.looks.try_send(agent)),
                 stream::StreamAction::Measure(timing) => journal::measure(timing),
                 stream::StreamAction::Note(note) => self.journal.write(&note, now),
             }
--- a/crates/wire/tests/foreign_messages.rs
+++ b/crates/wire/tests/foreign_messages.rs
@@ -48,6 +48,7 @@
             service: ids::ServiceId(9),
             data_centre: 1,
             phase: host::HostPhase::Serving,
+            host_age_ms: Some(70),
             load,
             generation,
         }),
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -123,6 +123,8 @@
 zone-lost-waited-for	crates/core/src/stream/board.rs	s/Some\(report\) if lost_centres\.contains\(&report\.data_centre\) => \{/Some(report) if false \&\& lost_centres.contains(\&report.data_centre) => {/	-p rosemaryusher-core --test zone_lost moved_callers_told
 zone-heard-by-others-ignored	crates/core/src/stream/balancer/centres.rs	s/Some\(\*centre\) != peer\.data_centre && !peer\.hears\.contains\(centre\)/Some(*centre) != peer.data_centre || !peer.hears.contains(centre)/	-p rosemaryusher-core --test zone_lost heard_by_another
 zone-lost-too-soon	crates/core/src/stream/balancer/centres.rs	s/const LOST_MS: u64 = 1_500/const LOST_MS: u64 = 1_000/	-p rosemaryusher-core --test zone_lost agents_restarted
+machine-gone-waited-for	crates/core/src/stream/board.rs	s/is_overdue \|\| \(known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)\)/is_overdue/	-p rosemaryusher-core --test stream_search machine_without_power
+machine-cut-taken-for-gone	crates/core/src/stream/board.rs	s/known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)/known.machine.is_gone(now)/	-p rosemaryusher-core --test stream_moves agent_unheard
 TABLE
 }
 
