--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -45,6 +45,7 @@
     Thaw,
     Configure { routes: u16, to: u8 },
     Evacuate { near: bool, far: bool },
+    LoseMachine { nth: u8 },
     Wait { millis: u64 },
 }
 
@@ -80,11 +81,12 @@
     ]
 }
 
-/// The same with a data centre that operators evacuate and take back.
+/// The same with data centres that operators evacuate and take back, and machines that lose power.
 fn step_among_centres() -> impl Strategy<Value = Step> {
     let evacuate =
         (any::<bool>(), any::<bool>()).prop_map(|(near, far)| Step::Evacuate { near, far });
-    prop_oneof![24 => step(), 1 => evacuate]
+    let lose_machine = (1..=3_u8).prop_map(|nth| Step::LoseMachine { nth });
+    prop_oneof![24 => step(), 1 => evacuate, 1 => lose_machine]
 }
 
 struct FuzzRun {
@@ -193,6 +195,7 @@
                 world.set_config(world::config(self.generation, &services));
                 world.deliver_config(process_address(to));
             }
+            Step::LoseMachine { nth } => world.lose_machine(nth),
             Step::Evacuate { near, far } => {
                 let centres = [(evacuations::NEAR, near), (evacuations::FAR, far)];
                 let evacuated = centres.iter().filter(|(_, is_evacuated)| *is_evacuated);
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -251,9 +251,7 @@
     let key = world::key(1, 0);
     world.open(key, 0);
     world.advance(10);
-    world.kill_host(HOSTS);
-    world.remove_agent(HOSTS);
-    world.off.insert(world::agent_address(HOSTS));
+    world.lose_machine(HOSTS);
     world.lose_power(1..HOSTS);
     world.start_balancer(2);
     world.advance(400);
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -309,6 +309,7 @@
         let service = config.service;
         self.agents.insert(address, agent::StreamAgent::new(config, self.now));
         self.announced.insert((address, Some(service)));
+        self.off.remove(&address);
         if let Some(host) = self.hosts.get_mut(&address) {
             host.drain_is_known = false;
         }
@@ -326,6 +327,13 @@
         self.handle(address, stream::StreamEvent::Members(members));
     }
 
+    /// The machine of an agent loses its power, and its backend server with it.
+    pub(crate) fn lose_machine(&mut self, nth: u8) {
+        self.kill_host(nth);
+        self.remove_agent(nth);
+        self.off.insert(agent_address(nth));
+    }
+
     /// The machine of an agent is taken away without a word.
     pub(crate) fn remove_agent(&mut self, nth: u8) {
         self.agents.remove(&agent_address(nth));
