--- a/crates/core/tests/stream_world/callers.rs
+++ b/crates/core/tests/stream_world/callers.rs
@@ -5,8 +5,8 @@
 use rosemaryusher_core::stream::segment;
 
 use super::DELAY_MS;
-use super::Envelope;
 use super::StreamWorld;
+use super::delivery::Envelope;
 
 /// What a caller has seen of a stream.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/tests/stream_world/hosts.rs
+++ b/crates/core/tests/stream_world/hosts.rs
@@ -8,10 +8,10 @@
 use rosemaryusher_core::stream::report;
 use rosemaryusher_core::stream::segment;
 
-use super::Envelope;
 use super::HOST_REPORT_MS;
 use super::StreamWorld;
 use super::agent_address;
+use super::delivery::Envelope;
 
 /// A backend server that holds streams and answers data.
 #[derive(Debug, Default)]
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod callers;
+mod delivery;
 pub(crate) mod evacuations;
 mod hosts;
 mod oracle;
@@ -20,7 +21,6 @@
 use rosemaryusher_core::stream::agent;
 use rosemaryusher_core::stream::balancer;
 use rosemaryusher_core::stream::evacuation;
-use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::note;
 use rosemaryusher_core::stream::policy;
 use rosemaryusher_core::stream::segment;
@@ -94,29 +94,6 @@
     }
 }
 
-enum Envelope {
-    Message { from: net::SocketAddrV4, to: net::SocketAddrV4, message: message::StreamMessage },
-    ToHost { agent: net::SocketAddrV4, marks: segment::SegmentMarks, bytes: Vec<u8> },
-    FromHost { agent: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
-    ToCaller { caller: net::Ipv4Addr, bytes: Vec<u8> },
-    FromCaller { balancer: net::SocketAddrV4, head: segment::SegmentHead, bytes: Vec<u8> },
-    Looked { balancer: net::SocketAddrV4, agent: net::SocketAddrV4, is_there: bool },
-}
-
-impl Envelope {
-    /// The process that it is for, unless it is for an end of a stream.
-    fn receiver(&self) -> Option<net::SocketAddrV4> {
-        match self {
-            Envelope::Message { to, .. } => Some(*to),
-            Envelope::FromHost { agent, .. } => Some(*agent),
-            Envelope::FromCaller { balancer, .. } | Envelope::Looked { balancer, .. } => {
-                Some(*balancer)
-            }
-            Envelope::ToHost { .. } | Envelope::ToCaller { .. } => None,
-        }
-    }
-}
-
 pub(crate) struct StreamWorld {
     pub(crate) now: ids::UnixMillis,
     pub(crate) policy: policy::StreamPolicy,
@@ -135,7 +112,7 @@
     pub(crate) unheard: collections::BTreeSet<(net::SocketAddrV4, net::SocketAddrV4)>,
     /// Processes that stand still, and what waits for them.
     pub(crate) frozen: collections::BTreeSet<net::SocketAddrV4>,
-    waiting: Vec<Envelope>,
+    waiting: Vec<delivery::Envelope>,
     /// The balancer that the network sends callers' segments to.
     pub(crate) entry_balancer: net::SocketAddrV4,
     pub(crate) newest: config::ConfigDelta,
@@ -156,7 +133,7 @@
     pub(crate) lists_evacuations: bool,
     /// Every list of evacuated data centres, the oldest first, with when it was written.
     evacuated: Vec<(ids::UnixMillis, evacuation::EvacuationState)>,
-    queue: collections::BTreeMap<(ids::UnixMillis, u64), Envelope>,
+    queue: collections::BTreeMap<(ids::UnixMillis, u64), delivery::Envelope>,
     sent: u64,
     /// Whether backend servers say when they started.
     pub(crate) has_births: bool,
@@ -375,58 +352,6 @@
         }
     }
 
-    fn deliver_due(&mut self) {
-        while let Some(entry) = self.queue.first_entry() {
-            if entry.key().0 > self.now {
-                return;
-            }
-            let envelope = entry.remove();
-            if envelope.receiver().is_some_and(|to| self.frozen.contains(&to)) {
-                self.waiting.push(envelope);
-                continue;
-            }
-            match envelope {
-                Envelope::Message { from, to, message } => self.deliver_message(from, to, &message),
-                Envelope::ToHost { agent, marks, bytes } => {
-                    self.deliver_to_host(agent, marks, &bytes)
-                }
-                Envelope::FromHost { agent, head, bytes } => {
-                    self.deliver_segment(agent, head, &bytes);
-                }
-                Envelope::FromCaller { balancer, head, bytes } => {
-                    self.deliver_segment(balancer, head, &bytes);
-                }
-                Envelope::ToCaller { caller, bytes } => self.deliver_to_caller(caller, &bytes),
-                Envelope::Looked { balancer, agent, is_there } => {
-                    self.handle(balancer, stream::StreamEvent::MachineLooked { agent, is_there });
-                }
-            }
-        }
-    }
-
-    fn deliver_message(
-        &mut self,
-        from: net::SocketAddrV4,
-        to: net::SocketAddrV4,
-        message: &message::StreamMessage,
-    ) {
-        let is_cut = self.cut.contains(&from) || self.cut.contains(&to);
-        if is_cut || self.unheard.contains(&(from, to)) {
-            return;
-        }
-        let head = match message {
-            message::StreamMessage::Carry(carry) => Some(self.read(&carry.segment).head),
-            message::StreamMessage::Return(returned) => Some(self.read(&returned.segment).head),
-            _ => None,
-        };
-        self.handle(to, stream::StreamEvent::Message { from, message, head });
-    }
-
-    fn deliver_segment(&mut self, to: net::SocketAddrV4, head: segment::SegmentHead, bytes: &[u8]) {
-        let segment = segment::StreamSegment { head, bytes };
-        self.handle(to, stream::StreamEvent::Segment(segment));
-    }
-
     /// The balancer that reaches the platform follows the operators' configuration.
     ///
     /// The platform refuses the other one, which hears of changes by reports alone.
@@ -452,62 +377,6 @@
         }
     }
 
-    fn carry_out(&mut self, address: net::SocketAddrV4, action: stream::StreamAction) {
-        match action {
-            stream::StreamAction::Tell(to, message) => {
-                *self.told.entry((to, message.kind().label())).or_default() += 1;
-                self.post(DELAY_MS, Envelope::Message { from: address, to, message });
-            }
-            stream::StreamAction::HandOver(marks, bytes) => {
-                self.post(0, Envelope::ToHost { agent: address, marks, bytes });
-            }
-            stream::StreamAction::Answer(caller, bytes) => {
-                self.post(DELAY_MS, Envelope::ToCaller { caller, bytes });
-            }
-            stream::StreamAction::Reset(key, sequence) => {
-                let open = self.callers.get(&key).and_then(|view| view.first);
-                let is_near = |first: u32| {
-                    let ahead = sequence.wrapping_sub(first);
-                    ahead.min(ahead.wrapping_neg()) <= RESET_WINDOW
-                };
-                // A caller with an open stream takes only a reset that knows where it is.
-                if open.is_some_and(|first| !is_near(first)) {
-                    return;
-                }
-                self.check_reset(address, key);
-                let view = self.callers.entry(key).or_default();
-                view.resets += 1;
-            }
-            stream::StreamAction::FetchConfig(_) => self.deliver_config(address),
-            stream::StreamAction::LookAtMachine(agent) => {
-                let is_there = !self.off.contains(&agent) && !self.cut.contains(&agent);
-                self.post(LOOK_MS, Envelope::Looked { balancer: address, agent, is_there });
-            }
-            stream::StreamAction::ProbeHost => {
-                if !self.hosts.contains_key(&address) {
-                    self.handle(address, stream::StreamEvent::HostVanished);
-                }
-            }
-            stream::StreamAction::Measure(_) => {}
-            stream::StreamAction::Note(note) => {
-                if let note::StreamNote::Reset {
-                    stream,
-                    reason: note::ResetReason::NoService,
-                    ..
-                } = note
-                {
-                    self.check_unrouted(address, stream);
-                }
-                self.notes.push(note);
-            }
-        }
-    }
-
-    fn post(&mut self, delay_ms: u64, envelope: Envelope) {
-        self.sent += 1;
-        self.queue.insert((self.now.plus(delay_ms), self.sent), envelope);
-    }
-
     /// Ends every cut.
     pub(crate) fn heal(&mut self) {
         for process in std::mem::take(&mut self.cut) {
