The slow start of backend servers tells how old they are, where no agent saw them start

Ruled out: balancers that start later than backend servers (0.36 s at the most, 0.5 allowed); reports counted by their period (an upper bound of 1.5 s tells nothing).

Change: a backend server that says for how much longer it is slow, of a service that says how long that is, has run for the difference. Test: starts_not_seen; one mutant.

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -8,6 +8,7 @@
 mod hosting;
 mod neighbours;
 
+use std::borrow;
 use std::collections;
 use std::net;
 use std::sync;
@@ -15,6 +16,7 @@
 use crate::config;
 use crate::ids;
 use crate::load;
+use crate::manifest;
 use crate::stream;
 use crate::stream::evacuation;
 use crate::stream::held;
@@ -288,11 +290,17 @@
         self.pace_ms.get().unwrap_or_default() as u64
     }
 
+    /// The rules of the service; the usual ones before there is a configuration.
+    fn rules(&self) -> borrow::Cow<'_, manifest::ServiceRules> {
+        match self.state.service(self.config.service) {
+            Some(spec) => borrow::Cow::Borrowed(&spec.rules),
+            None => borrow::Cow::Owned(manifest::ServiceRules::default()),
+        }
+    }
+
     /// Whether the backend server is slow after its start, and has had its share for the moment.
     fn is_spent(&self, now: ids::UnixMillis) -> bool {
-        let spec = self.state.service(self.config.service);
-        let margin = self.config.slow_start;
-        spec.is_some_and(|spec| self.slow_start.is_spent(&spec.rules, margin, now))
+        self.slow_start.is_spent(&self.rules(), self.config.slow_start, now)
     }
 
     fn limit_of_streams(&self) -> u32 {
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -55,8 +55,7 @@
         let outcome = self.evacuations.advance(&report.evacuations);
         let is_evacuated = self.evacuations.covers(self.config.data_centre);
         if was_evacuated && !is_evacuated {
-            let spec = self.state.service(self.config.service);
-            let rules = spec.map(|spec| spec.rules.clone()).unwrap_or_default();
+            let rules = self.rules().into_owned();
             self.slow_start.doubt(&rules, now);
         }
         if outcome == evacuation::EvacuationOutcome::Changed {
@@ -109,15 +108,24 @@
         }
     }
 
+    /// For how long the backend server has run, where it is new and that was seen, or where its slow
+    /// start tells.
+    ///
+    /// An agent that starts on a thin machine hears its reports 2 and 3 first, and has not seen its start.
+    fn host_age_ms(&self, now: ids::UnixMillis) -> Option<u32> {
+        let seen = now.since(self.host_began);
+        let told = self.slow_start.age_ms(&self.rules(), now);
+        let age_ms = told.map_or(seen, |told| told.min(seen));
+        (age_ms < HOST_NEW_MS).then_some(age_ms as u32)
+    }
+
     pub(super) fn own_report(&self, now: ids::UnixMillis) -> message::StreamMessage {
         message::StreamMessage::Agent(message::AgentReport {
             agent: self.config.instance,
             service: self.config.service,
             data_centre: self.config.data_centre,
             phase: self.phase(now),
-            host_age_ms: Some(now.since(self.host_began))
-                .filter(|age_ms| *age_ms < HOST_NEW_MS)
-                .map(|age_ms| age_ms as u32),
+            host_age_ms: self.host_age_ms(now),
             load: self.load(now),
             generation: self.state.generation(),
         })
--- a/crates/core/src/stream/slow_start.rs
+++ b/crates/core/src/stream/slow_start.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// How long ago the backend server started, by what it says of its slow start; `None` where it is not
+    /// slow, or slow for longer than its service says.
+    pub fn age_ms(&self, rules: &manifest::ServiceRules, now: ids::UnixMillis) -> Option<u64> {
+        let left_ms = self.slow_until.since(now);
+        let whole_ms = 1_000 * u64::from(rules.slow_start_s);
+        whole_ms.checked_sub(left_ms).filter(|_| left_ms > 0)
+    }
+
     fn handed_lately(&self, now: ids::UnixMillis) -> usize {
         self.handed.iter().rev().take_while(|handed| now.since(**handed) < WINDOW_MS).count()
     }
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -260,6 +260,34 @@
     assert_eq!(world.view(key).resets, 1);
 }
 
+/// The same on thin machines: agents start later than their backend servers and hear their reports 2 and
+/// 3 first, so that none has seen its backend server start. What these say of their slow start tells.
+#[test]
+fn starts_not_seen() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let mut delta = world::config(2, &[("wallet", &[0, 1]), ("preview", &[5])]);
+    delta.changed[0].1.rules.slow_start_s = 2;
+    world.set_config(delta);
+    world.advance(300);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    world.lose_machine(HOSTS);
+    world.has_births = false;
+    world.lose_power(1..HOSTS);
+    world.start_balancer(2);
+    for nth in 1..HOSTS {
+        let slow_until = world.now.plus(2_000);
+        let host = world.host(nth);
+        host.reports = 2;
+        host.slow_until = slow_until;
+    }
+    world.advance(400);
+    world.send(key);
+    world.advance(300);
+    assert_eq!(world.view(key).resets, 1);
+}
+
 /// The same, and the machine has power: its agent is being restarted beside a backend server that lives and
 /// holds the stream. The machine refuses connections, so the agent's word is waited for, and the stream
 /// goes on.
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -125,6 +125,7 @@
 zone-lost-too-soon	crates/core/src/stream/balancer/centres.rs	s/const LOST_MS: u64 = 1_500/const LOST_MS: u64 = 1_000/	-p rosemaryusher-core --test zone_lost agents_restarted
 machine-gone-waited-for	crates/core/src/stream/board.rs	s/is_overdue \|\| \(known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)\)/is_overdue/	-p rosemaryusher-core --test stream_search machine_without_power
 machine-cut-taken-for-gone	crates/core/src/stream/board.rs	s/known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)/known.machine.is_gone(now)/	-p rosemaryusher-core --test stream_moves agent_unheard
+machine-start-unseen	crates/core/src/stream/agent/neighbours.rs	s/told\.map_or\(seen, \|told\| told\.min\(seen\)\)/told.map_or(seen, |_| seen)/	-p rosemaryusher-core --test stream_search starts_not_seen
 TABLE
 }
 
