--- a/crates/core/tests/evacuate_placed.rs
+++ b/crates/core/tests/evacuate_placed.rs
@@ -2,9 +2,6 @@
 
 mod stream_world;
 
-use rosemaryusher_core::ids;
-use rosemaryusher_core::stream;
-use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::note;
 
 use stream_world as world;
@@ -62,17 +59,7 @@
     world.evacuate(&[evacuations::FAR]);
     world.advance(300);
     let key = world::key(1, 0);
-    let segment = world.opening(key);
-    let head = world.head_of(&segment);
-    let carry = message::StreamMessage::Carry(message::CarryMessage {
-        kind: message::CarryKind::Open,
-        service: ids::ServiceId::of_name("wallet"),
-        generation: ids::ConfigGeneration(1),
-        segment,
-    });
-    let from = world::balancer_address(2);
-    let event = stream::StreamEvent::Message { from, message: &carry, head: Some(head) };
-    world.handle(world::agent_address(3), event);
+    world.place_unawares(key, 3);
     world.advance(10);
     assert!(world.view(key).first.is_some());
     assert!(world.holders(key).iter().all(|nth| *nth <= 2));
--- a/crates/core/tests/homes_kept.rs
+++ b/crates/core/tests/homes_kept.rs
@@ -2,9 +2,6 @@
 
 mod stream_world;
 
-use rosemaryusher_core::ids;
-use rosemaryusher_core::stream;
-use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::note;
 
 use stream_world as world;
@@ -45,17 +42,7 @@
 fn agent_turns_away() {
     let mut world = bound_to(evacuations::FAR);
     let key = world::key(1, 0);
-    let segment = world.opening(key);
-    let head = world.head_of(&segment);
-    let carry = message::StreamMessage::Carry(message::CarryMessage {
-        kind: message::CarryKind::Open,
-        service: ids::ServiceId::of_name("wallet"),
-        generation: ids::ConfigGeneration(1),
-        segment,
-    });
-    let from = world::balancer_address(2);
-    let event = stream::StreamEvent::Message { from, message: &carry, head: Some(head) };
-    world.handle(world::agent_address(1), event);
+    world.place_unawares(key, 1);
     world.advance(10);
     assert!(world.view(key).first.is_some());
     assert!(world.holders(key).iter().all(|nth| *nth >= 3));
--- a/crates/core/tests/stream_world/callers.rs
+++ b/crates/core/tests/stream_world/callers.rs
@@ -2,10 +2,15 @@
 
 use std::net;
 
+use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::segment;
 
 use super::DELAY_MS;
 use super::StreamWorld;
+use super::agent_address;
+use super::balancer_address;
 use super::delivery::Envelope;
 
 /// What a caller has seen of a stream.
@@ -55,17 +60,22 @@
         self.send_segment(key, flags, acknowledged, 0);
     }
 
-    /// The bytes of an opening that goes to no balancer.
-    pub(crate) fn opening(&mut self, key: segment::StreamKey) -> Vec<u8> {
+    /// An opening arrives at an agent from the second balancer, as if that had missed the last change of
+    /// what operators ask for.
+    pub(crate) fn place_unawares(&mut self, key: segment::StreamKey, nth_agent: u8) {
         self.callers.entry(key).or_default();
         let flags = segment::SegmentFlags { opens: true, ..segment::SegmentFlags::default() };
         let head = caller_head(key, flags, 0, 0);
-        self.write(head, true)
-    }
-
-    /// The head of a segment that was written.
-    pub(crate) fn head_of(&self, bytes: &[u8]) -> segment::SegmentHead {
-        self.read(bytes).head
+        let segment = self.write(head, true);
+        let carry = message::StreamMessage::Carry(message::CarryMessage {
+            kind: message::CarryKind::Open,
+            service: ids::ServiceId::of_name("wallet"),
+            generation: ids::ConfigGeneration(1),
+            segment,
+        });
+        let from = balancer_address(2);
+        let event = stream::StreamEvent::Message { from, message: &carry, head: Some(head) };
+        self.handle(agent_address(nth_agent), event);
     }
 
     fn send_segment(
