A segment is searched for where its opening's agent was lost before it answered

Cause: a balancer that has sent an opening to an agent and heard nothing of it sends the caller's segments there, also when that agent is lost and the caller has taken the answer to a copy through another balancer. Once the network turned the caller back, its requests went to the lost machine until their deadline. Found by stream_fuzz::evacuations_hold with 6,000 cases on the code before this one ("hangs": an opening, its balancer cut off, the agent's machine lost, a copy through the other balancer, the caller turned back).

Ruled out: a wrong holder by its sequence numbers (there was no holder at all, and no note of a search).

Change: an agent that has only had the opening and is heard no more is not taken for the holder; the stream is searched for.

Result: stream_search::lost_before_answer fails without it and passes with it; 8,000 cases of each stream_fuzz test hold.

--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -35,16 +35,23 @@
             owner.is_ended |= segment.head.flags.ends || segment.head.flags.resets;
             owner.guess_next(now);
             let is_repeated = sent::SentContents::note(&mut owner.sent, &segment.head, now);
-            owner.target(segment.head.acknowledged).map(|agent| (agent, is_repeated))
+            let is_confirmed = !owner.holders.is_empty();
+            let agent = owner.target(segment.head.acknowledged)?;
+            Some((agent, is_repeated, is_confirmed))
         });
         match target {
             // Its backend server is gone with its data centre, and what the caller sent is not
             // acknowledged. Told now, it is answered within its aim; it would wait for its deadline.
-            Some((agent, true)) if self.is_lost(agent) => {
+            Some((agent, true, _)) if self.is_lost(agent) => {
                 let expected = segment.head.acknowledged;
                 self.reset(key, expected, note::ResetReason::CentreLost, actions);
             }
-            Some((agent, _)) => {
+            // It had the opening, has not said what became of it and is heard no more: the caller may have
+            // taken the answer to a copy that came through another balancer.
+            Some((agent, _, false)) if !self.board.is_fresh(agent, now) => {
+                self.search(key, service, segment, now, actions);
+            }
+            Some((agent, ..)) => {
                 self.carry(agent, message::CarryKind::Held, segment.bytes, actions, key);
             }
             None => self.search(key, service, segment, now, actions),
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -328,3 +328,30 @@
     world.advance(300);
     assert_eq!(world.view(key).resets, 0);
 }
+
+/// A caller's opening goes through one balancer to a host whose machine is lost before it answers. A copy
+/// through another balancer opens the stream elsewhere, and the network turns the caller back to the
+/// first balancer. Its requests reach the host that holds the stream, and not the lost machine.
+#[test]
+fn lost_before_answer() {
+    let mut world = world::StreamWorld::calm();
+    let key = world::key(5, 1);
+    world.open(key, 0);
+    world.advance(1);
+    world.entry_balancer = world::balancer_address(2);
+    world.cut.insert(world::balancer_address(1));
+    let lost = world.placed(key);
+    world.lose_machine(lost);
+    world.advance(600);
+    world.open(key, 2);
+    world.advance(300);
+    assert!(!world.holders(key).is_empty());
+    world.heal();
+    world.advance(2_000);
+    world.entry_balancer = world::balancer_address(1);
+    for _ in 0..2 {
+        world.send(key);
+        world.advance(300);
+    }
+    assert!(world.view(key).answers > 0);
+}
