Revisions of the store are told apart by its epoch; what a restore loses is held or written again

Cause: the store may come back from a copy some seconds old and give its revisions out again. Read off the code and shown by tests that failed without the change: a watch went on from a number of before and missed all below it (epoch_watch_overtaken::numbers_overtaken); of two lists of evacuated data centres the one of the greater number held, so the true one was stale (epoch_evacuation_kept); an announcement that was lost was never written again (epoch_announcement_again); a condition on a number that was given out again replaced another's object (condition_reused); an accepted release was gone (epoch_release_kept).

Ruled out: forgetting all that was read when the epoch changes (a report under way brings it back), and everyone reading everything again (14,000 lists of 14,000 members).

The stand-in of the platform can be restored.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`membership`] | which processes there are, and who is draining, suspect or dead |
 //! | [`stream`] | where segments of streams go, and which backend server holds each |
 //! | [`config`] | which generation of the configuration is in force; it never goes back |
+//! | [`store_epoch`] | which of two revisions of the platform's store is newer, also after it was restored |
 //!
 //! # Example
 //!
@@ -46,6 +47,7 @@
 pub mod placement;
 pub mod retry;
 pub mod routing;
+pub mod store_epoch;
 pub mod stream;
 pub mod ticket;
 pub mod uploads;
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -17,6 +17,7 @@
 use crate::ids;
 use crate::load;
 use crate::manifest;
+use crate::store_epoch;
 use crate::stream;
 use crate::stream::evacuation;
 use crate::stream::held;
@@ -75,7 +76,9 @@
 pub struct StreamAgent {
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
-    evacuations: evacuation::EvacuationState,
+    evacuations: evacuation::EvacuationBelief,
+    /// The latest epoch of the platform's store that was told here.
+    store_epoch: store_epoch::StoreEpoch,
     host: host::HostState,
     held: held::HeldStreams,
     waiting: waiting::WaitingRoom,
@@ -103,7 +106,8 @@
     pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamAgent {
         StreamAgent {
             state: sync::Arc::default(),
-            evacuations: evacuation::EvacuationState::default(),
+            evacuations: evacuation::EvacuationBelief::default(),
+            store_epoch: store_epoch::StoreEpoch::default(),
             host: host::HostState::default(),
             held: held::HeldStreams::default(),
             waiting: waiting::WaitingRoom::default(),
@@ -161,6 +165,7 @@
             stream::StreamEvent::Evacuations(_)
             | stream::StreamEvent::MachineLooked { .. }
             | stream::StreamEvent::Platform(_) => {}
+            stream::StreamEvent::StoreEpoch(epoch) => self.take_store_epoch(epoch, actions),
             stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
             stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
             stream::StreamEvent::HostVanished => self.host_vanished(now, actions),
@@ -217,6 +222,7 @@
         let idle_ms = self.config.stream_limit_s * 1_000;
         self.held.sweep(idle_ms, now);
         self.forget_balancers(now, actions);
+        self.expire_evacuations(now, actions);
         self.report_due(now, actions);
     }
 }
@@ -256,10 +262,15 @@
     }
 
     /// The evacuated data centres that this agent knows of.
-    pub fn evacuations(&self) -> &evacuation::EvacuationState {
+    pub fn evacuations(&self) -> &evacuation::EvacuationBelief {
         &self.evacuations
     }
 
+    /// The latest epoch of the platform's store that was told here.
+    pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
+        self.store_epoch
+    }
+
     /// Whether a balancer has been heard lately.
     pub fn hears_balancer(&self) -> bool {
         self.balancers.values().any(|known| known.is_heard)
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::ids;
+use crate::store_epoch;
 use crate::stream;
 use crate::stream::agent;
 use crate::stream::evacuation;
@@ -51,16 +52,48 @@
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
+        self.take_store_epoch(report.store_epoch, actions);
         let was_evacuated = self.evacuations.covers(self.config.data_centre);
-        let outcome = self.evacuations.advance(&report.evacuations);
-        let is_evacuated = self.evacuations.covers(self.config.data_centre);
-        if was_evacuated && !is_evacuated {
+        let outcome = self.evacuations.advance(&report.evacuations, now);
+        if outcome == evacuation::EvacuationOutcome::Changed {
+            self.put_evacuations_in_force(was_evacuated, now, actions);
+        }
+    }
+
+    /// Gives up what the store has not listed again for long after it was restored.
+    pub(super) fn expire_evacuations(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let was_evacuated = self.evacuations.covers(self.config.data_centre);
+        if self.evacuations.expire(now) {
+            self.put_evacuations_in_force(was_evacuated, now, actions);
+        }
+    }
+
+    fn put_evacuations_in_force(
+        &mut self,
+        was_evacuated: bool,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if was_evacuated && !self.evacuations.covers(self.config.data_centre) {
             let rules = self.rules().into_owned();
             self.slow_start.doubt(&rules, now);
         }
-        if outcome == evacuation::EvacuationOutcome::Changed {
-            let note = note::StreamNote::evacuated(&self.evacuations);
-            actions.push(stream::StreamAction::Note(note));
+        let note = note::StreamNote::evacuated(&self.evacuations);
+        actions.push(stream::StreamAction::Note(note));
+    }
+
+    /// Takes in the epoch of the platform's store, by its answers here or by a balancer.
+    pub(super) fn take_store_epoch(
+        &mut self,
+        to: store_epoch::StoreEpoch,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if let Some(from) = self.store_epoch.advance(to) {
+            actions.push(stream::StreamAction::Note(note::StreamNote::StoreRestored { from, to }));
         }
     }
 
--- a/crates/core/src/stream/balancer/evacuations.rs
+++ b/crates/core/src/stream/balancer/evacuations.rs
@@ -1,6 +1,7 @@
 //! What a balancer knows of evacuated data centres, and what it does before it knows.
 
 use crate::ids;
+use crate::store_epoch;
 use crate::stream;
 use crate::stream::balancer;
 use crate::stream::evacuation;
@@ -25,14 +26,43 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if self.evacuations.advance(state) != evacuation::EvacuationOutcome::Changed {
-            return;
+        if self.evacuations.advance(state, now) == evacuation::EvacuationOutcome::Changed {
+            self.put_evacuations_in_force(now, actions);
         }
+    }
+
+    /// Gives up what the store has not listed again for long after it was restored.
+    pub(super) fn expire_evacuations(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if self.evacuations.expire(now) {
+            self.put_evacuations_in_force(now, actions);
+        }
+    }
+
+    fn put_evacuations_in_force(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
         self.board.evacuate(&self.evacuations);
         actions.push(stream::StreamAction::Note(note::StreamNote::evacuated(&self.evacuations)));
         self.report(now, actions);
     }
 
+    /// Takes in the epoch of the platform's store, by its answers here or by another balancer.
+    pub(super) fn take_store_epoch(
+        &mut self,
+        to: store_epoch::StoreEpoch,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if let Some(from) = self.store_epoch.advance(to) {
+            actions.push(stream::StreamAction::Note(note::StreamNote::StoreRestored { from, to }));
+        }
+    }
+
     /// Logs once that openings are placed although what is evacuated is not known.
     pub(super) fn note_unknown_evacuations(
         &mut self,
@@ -52,10 +82,15 @@
 
 impl balancer::StreamBalancer {
     /// The evacuated data centres that this balancer knows of.
-    pub fn evacuations(&self) -> &evacuation::EvacuationState {
+    pub fn evacuations(&self) -> &evacuation::EvacuationBelief {
         &self.evacuations
     }
 
+    /// The latest epoch of the platform's store that was told here.
+    pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
+        self.store_epoch
+    }
+
     /// Whether openings wait until it is known which data centres are evacuated.
     pub(super) fn awaits_evacuations(&self, now: ids::UnixMillis) -> bool {
         let is_unknown = self.config.has_evacuations && !self.evacuations.is_known();
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::config;
 use crate::ids;
+use crate::store_epoch;
 use crate::stream;
 use crate::stream::board;
 use crate::stream::evacuation;
@@ -64,7 +65,9 @@
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
     board: board::AgentBoard,
-    evacuations: evacuation::EvacuationState,
+    evacuations: evacuation::EvacuationBelief,
+    /// The latest epoch of the platform's store that was told here.
+    store_epoch: store_epoch::StoreEpoch,
     owners: owners::StreamOwners,
     searches: lookup::OwnerSearches,
     parked: parked::ParkedOpenings,
@@ -92,7 +95,8 @@
         StreamBalancer {
             state: sync::Arc::default(),
             board: board::AgentBoard::new(&config, now),
-            evacuations: evacuation::EvacuationState::default(),
+            evacuations: evacuation::EvacuationBelief::default(),
+            store_epoch: store_epoch::StoreEpoch::default(),
             owners: owners::StreamOwners::default(),
             searches: lookup::OwnerSearches::default(),
             parked: parked::ParkedOpenings::default(),
@@ -151,6 +155,7 @@
             }
             stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
+            stream::StreamEvent::StoreEpoch(epoch) => self.take_store_epoch(epoch, actions),
             stream::StreamEvent::MachineLooked { agent, is_there } => {
                 self.board.note_machine(agent, is_there);
             }
@@ -216,6 +221,7 @@
         let due_looks = self.board.take_due_looks(now).into_iter();
         actions.extend(due_looks.map(stream::StreamAction::LookAtMachine));
         self.note_unknown_evacuations(now, actions);
+        self.expire_evacuations(now, actions);
         self.place_parked(now, actions);
         self.owners.turn(now);
         if now.since(self.reported) >= REPORT_MS {
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -75,13 +75,14 @@
             if is_news {
                 let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
                 actions.push(stream::StreamAction::Note(changed));
-                actions.push(stream::StreamAction::Tell(from, self.own_report()));
+                actions.push(stream::StreamAction::Tell(from, self.own_report(now)));
                 actions.push(stream::StreamAction::Tell(from, self.heard_members()));
             }
         }
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
+        self.take_store_epoch(report.store_epoch, actions);
         self.take_evacuations(&report.evacuations, now, actions);
     }
 
@@ -98,7 +99,7 @@
         for agent in &members.agents {
             if self.board.get(*agent).is_none() {
                 self.board.note_address(*agent, now);
-                actions.push(stream::StreamAction::Tell(*agent, self.own_report()));
+                actions.push(stream::StreamAction::Tell(*agent, self.own_report(now)));
             }
             self.board.note_told(*agent, now);
         }
@@ -163,7 +164,7 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let report = self.own_report();
+        let report = self.own_report(now);
         if now.since(self.told_agents) >= self.report_period_ms(balancer::AGENT_REPORT_MS) {
             self.told_agents = now;
             let agents = self.board.addresses();
@@ -181,14 +182,15 @@
         (balancer::REPORT_SHARE_MS * (heard + 1)).clamp(balancer::REPORT_MS, most)
     }
 
-    pub(super) fn own_report(&self) -> message::StreamMessage {
+    pub(super) fn own_report(&self, now: ids::UnixMillis) -> message::StreamMessage {
         message::StreamMessage::Balancer(message::BalancerReport {
             data_centre: self.config.data_centre,
             generation: self.state.generation(),
             is_leaving: self.is_leaving,
             reaches_platform: self.reaches_platform && !self.is_leaving,
             hears: self.heard_centres(),
-            evacuations: self.evacuations.clone(),
+            evacuations: self.evacuations.told(now),
+            store_epoch: self.store_epoch,
         })
     }
 
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -170,7 +170,7 @@
     }
 
     /// Notes which data centres get no new streams.
-    pub fn evacuate(&mut self, evacuations: &evacuation::EvacuationState) {
+    pub fn evacuate(&mut self, evacuations: &evacuation::EvacuationBelief) {
         self.evacuated = evacuations.hashes().collect();
     }
 
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::load;
+use crate::store_epoch;
 use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::segment;
@@ -124,6 +125,8 @@
     pub hears: Vec<u32>,
     /// The evacuated data centres that it knows of: a few names, most often none.
     pub evacuations: evacuation::EvacuationState,
+    /// The latest epoch of the platform's store that it knows of.
+    pub store_epoch: store_epoch::StoreEpoch,
 }
 
 /// Whom a balancer has heard lately, told to one other balancer at a time.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -59,6 +59,7 @@
 
 use crate::config;
 use crate::ids;
+use crate::store_epoch;
 
 /// Something that an engine of this module takes in.
 #[derive(Debug)]
@@ -84,6 +85,8 @@
     Members(Vec<AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
     Platform(bool),
+    /// The epoch of the platform's store, by its answers.
+    StoreEpoch(store_epoch::StoreEpoch),
     /// The backend server's report.
     HostReport(report::HostReport),
     /// A run of the backend server has left; the word may name its id alone.
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::ids;
+use crate::store_epoch;
 use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::message;
@@ -201,9 +202,20 @@
     EvacuationsChanged {
         /// The names of those that are.
         data_centres: collections::BTreeSet<String>,
+        /// Those of them that the store has not listed since it was restored.
+        kept: collections::BTreeSet<String>,
+        /// The epoch of the platform's store.
+        epoch: store_epoch::StoreEpoch,
         /// The platform's revision that the list was read at.
         revision: u64,
     },
+    /// The platform's store has come back from a copy: what was written to it last may be gone.
+    StoreRestored {
+        /// Its epoch before.
+        from: store_epoch::StoreEpoch,
+        /// Its epoch now.
+        to: store_epoch::StoreEpoch,
+    },
     /// Openings are placed though it is not known which data centres are evacuated.
     EvacuationsUnknown {
         /// For how long openings waited for the list, in milliseconds.
@@ -226,14 +238,17 @@
                 | StreamNote::ConfigInForce { .. }
                 | StreamNote::EvacuationsChanged { .. }
                 | StreamNote::EvacuationsUnknown { .. }
+                | StreamNote::StoreRestored { .. }
         )
     }
 
     /// A note on the data centres that are evacuated now.
-    pub fn evacuated(state: &evacuation::EvacuationState) -> StreamNote {
+    pub fn evacuated(belief: &evacuation::EvacuationBelief) -> StreamNote {
         StreamNote::EvacuationsChanged {
-            data_centres: state.data_centres().clone(),
-            revision: state.revision(),
+            data_centres: belief.names().map(str::to_owned).collect(),
+            kept: belief.kept().clone(),
+            epoch: belief.revision().epoch,
+            revision: belief.revision().number,
         }
     }
 
--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -45,6 +45,7 @@
     Thaw,
     Configure { routes: u16, to: u8 },
     Evacuate { near: bool, far: bool },
+    RestoreStore { changes: usize, again_ms: u64 },
     LoseMachine { nth: u8 },
     Wait { millis: u64 },
 }
@@ -81,12 +82,15 @@
     ]
 }
 
-/// The same with data centres that operators evacuate and take back, and machines that lose power.
+/// The same with data centres that operators evacuate and take back, machines that lose power, and a
+/// store that comes back from a copy: operators write again what it lacks within two seconds.
 fn step_among_centres() -> impl Strategy<Value = Step> {
     let evacuate =
         (any::<bool>(), any::<bool>()).prop_map(|(near, far)| Step::Evacuate { near, far });
+    let restore = (0..4_usize, 100..2_000_u64)
+        .prop_map(|(changes, again_ms)| Step::RestoreStore { changes, again_ms });
     let lose_machine = (1..=3_u8).prop_map(|nth| Step::LoseMachine { nth });
-    prop_oneof![24 => step(), 1 => evacuate, 1 => lose_machine]
+    prop_oneof![24 => step(), 1 => evacuate, 1 => restore, 1 => lose_machine]
 }
 
 struct FuzzRun {
@@ -195,6 +199,7 @@
                 world.set_config(world::config(self.generation, &services));
                 world.deliver_config(process_address(to));
             }
+            Step::RestoreStore { changes, again_ms } => world.restore_store(changes, again_ms),
             Step::LoseMachine { nth } => world.lose_machine(nth),
             Step::Evacuate { near, far } => {
                 let centres = [(evacuations::NEAR, near), (evacuations::FAR, far)];
--- a/crates/core/tests/stream_world/evacuations.rs
+++ b/crates/core/tests/stream_world/evacuations.rs
@@ -4,6 +4,7 @@
 use std::net;
 
 use rosemaryusher_core::ids;
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::evacuation;
 use rosemaryusher_core::stream::segment;
@@ -49,8 +50,36 @@
     /// Operators evacuate these data centres and take back the others.
     pub(crate) fn evacuate(&mut self, data_centres: &[&str]) {
         let names = data_centres.iter().map(|name| (*name).to_owned()).collect();
-        let revision = 1 + self.evacuated.len() as u64;
-        self.evacuated.push((self.now, evacuation::EvacuationState::new(revision, names)));
+        self.list(names);
+        self.evacuated.push((self.now, self.listed.clone()));
+    }
+
+    /// The store comes back from a copy of when it had the list of `changes` changes ago. What operators
+    /// wrote since is written again after `again_ms`.
+    pub(crate) fn restore_store(&mut self, changes: usize, again_ms: u64) {
+        let nth = (self.evacuated.len() - 1).saturating_sub(changes);
+        let copy = &self.evacuated[nth].1;
+        let epoch = store_epoch::StoreEpoch(self.listed.revision().epoch.0 + 1);
+        let number = copy.revision().number;
+        let revision = store_epoch::StoreRevision::new(epoch, number);
+        self.listed = evacuation::EvacuationState::new(revision, copy.data_centres().clone());
+        self.written_again = Some(self.now.plus(again_ms));
+    }
+
+    /// Operators want no data centre evacuated, and have nothing to remove: the restored store lists
+    /// none.
+    pub(crate) fn want_none_evacuated(&mut self) {
+        let wanted = evacuation::EvacuationState::new(self.listed.revision(), [].into());
+        self.evacuated.push((self.now, wanted));
+        self.written_again = None;
+    }
+
+    /// Writes a list to the store.
+    fn list(&mut self, names: collections::BTreeSet<String>) {
+        let held = self.listed.revision();
+        let revision = store_epoch::StoreRevision::new(held.epoch, held.number + 1);
+        self.listed = evacuation::EvacuationState::new(revision, names);
+        self.written_again = None;
     }
 
     /// The list as it was after so many changes; the first is number 0.
@@ -60,10 +89,15 @@
 
     /// One process reads the platform's list.
     pub(super) fn deliver_evacuations(&mut self, to: net::SocketAddrV4) {
-        let Some((_, state)) = self.evacuated.last().filter(|_| self.lists_evacuations) else {
+        if !self.lists_evacuations || self.listed.revision().number == 0 {
             return;
-        };
-        let state = state.clone();
+        }
+        if self.written_again.is_some_and(|due| self.now >= due) {
+            let wanted = self.evacuated.last().map(|(_, state)| state.data_centres().clone());
+            self.list(wanted.unwrap_or_default());
+        }
+        let state = self.listed.clone();
+        self.handle(to, stream::StreamEvent::StoreEpoch(state.revision().epoch));
         self.handle(to, stream::StreamEvent::Evacuations(state));
     }
 
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -133,6 +133,10 @@
     pub(crate) lists_evacuations: bool,
     /// Every list of evacuated data centres, the oldest first, with when it was written.
     evacuated: Vec<(ids::UnixMillis, evacuation::EvacuationState)>,
+    /// The list that the store holds.
+    listed: evacuation::EvacuationState,
+    /// When operators write again what a restore of the store has lost.
+    written_again: Option<ids::UnixMillis>,
     queue: collections::BTreeMap<(ids::UnixMillis, u64), delivery::Envelope>,
     sent: u64,
     /// Whether backend servers say when they started.
@@ -170,6 +174,8 @@
             has_evacuations: false,
             lists_evacuations: true,
             evacuated: Vec::new(),
+            listed: evacuation::EvacuationState::default(),
+            written_again: None,
             queue: collections::BTreeMap::new(),
             sent: 0,
             has_births: true,
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -5,12 +5,14 @@
 
 use rosemaryusher_core::ids;
 use rosemaryusher_core::membership;
+use rosemaryusher_core::store_epoch;
 
 use crate::control;
 use crate::platform;
 use crate::platform::ObjectStore as _;
 use crate::release;
 use crate::release::parts;
+use crate::release::restore;
 
 /// How many processes watch the platform.
 ///
@@ -21,6 +23,9 @@
 /// Without a word from any peer for so long, a process asks the platform itself.
 const LONELY_MS: u64 = 5_000;
 
+/// How often a process looks whether the store was restored, in milliseconds.
+const RESTORE_LOOK_MS: u64 = 1_000;
+
 /// The longest pause before the platform is asked again after an error, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 4_000;
 
@@ -31,12 +36,29 @@
     let Ok(value) = serde_json::to_string(&own) else { return };
     let key = platform::member_key(&own.name);
     let mut pause_ms = 100;
-    // Writing twice does no harm: the value is the same, and the name is this process's own.
-    while let Err(error) = store.put(&key, value.clone(), platform::WriteCondition::Always).await {
-        log::warn!("cannot announce this process: {error}");
-        control::sleep_ms(jittered(&hub, pause_ms)).await;
-        pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+    loop {
+        // Writing twice does no harm: the value is the same, and the name is this process's own.
+        match store.put(&key, value.clone(), platform::WriteCondition::Always).await {
+            Ok(version) => {
+                pause_ms = 100;
+                wait_for_restore(&hub, version.epoch).await;
+            }
+            Err(error) => {
+                log::warn!("cannot announce this process: {error}");
+                control::sleep_ms(jittered(&hub, pause_ms)).await;
+                pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+            }
+        }
+    }
+}
+
+/// Waits until the configuration in force is of a later epoch of the store than this process's
+/// announcement: the store has been restored, and may have lost it.
+async fn wait_for_restore(hub: &control::ControlHub, announced: store_epoch::StoreEpoch) {
+    while store_epoch::StoreRevision::unpacked(hub.generation().0).epoch <= announced {
+        control::sleep_ms(RESTORE_LOOK_MS).await;
     }
+    control::sleep_ms(jittered(hub, platform::ANNOUNCE_SPREAD_MS)).await;
 }
 
 /// Takes back this process's announcement, if it still is this run's.
@@ -58,7 +80,7 @@
     let Some(store) = &hub.store else { return };
     let wait = time::Duration::from_millis(hub.settings.control.watch_ms);
     let mut pause_ms = 100;
-    let mut cache = parts::PartCache::default();
+    let mut followed = FollowedRelease::default();
     loop {
         let has_none = hub.generation() == ids::ConfigGeneration(0);
         let is_lonely = hub.unheard_ms() >= LONELY_MS;
@@ -68,7 +90,7 @@
         }
         // A lonely process that is no watcher looks once and does not hold a watch open.
         let wait = if is_watcher(&hub) { wait } else { time::Duration::ZERO };
-        match read_once(&hub, store, wait, &mut cache).await {
+        match read_once(&hub, store, wait, &mut followed).await {
             Ok(()) => {
                 pause_ms = 100;
                 control::sleep_ms(jittered(&hub, if wait.is_zero() { 1_000 } else { 10 })).await;
@@ -82,16 +104,32 @@
     }
 }
 
+/// The release that a watcher read last.
+#[derive(Default)]
+struct FollowedRelease {
+    head: Option<platform::StoredObject>,
+    cache: parts::PartCache,
+}
+
 async fn read_once(
     hub: &control::ControlHub,
     store: &platform::HttpStore,
     wait: time::Duration,
-    cache: &mut parts::PartCache,
+    followed: &mut FollowedRelease,
 ) -> eyre::Result<()> {
-    let held = hub.generation().0;
-    let Some(head) = store.watch(release::HEAD_KEY, held, wait).await? else { return Ok(()) };
-    if head.version > held {
-        let delta = release::load(store, &head, cache).await?;
+    let held = store_epoch::StoreRevision::unpacked(hub.generation().0);
+    let found = store.watch(release::HEAD_KEY, held, wait).await?;
+    if let Some(head) = &followed.head
+        && head.version.epoch < store.epoch()
+        && restore::mend_head(store, head, found.as_ref(), &followed.cache).await?
+            == restore::HeadFate::Lost
+    {
+        // It is read at the next turn, as any that was accepted.
+        return Ok(());
+    }
+    if let Some(head) = found.filter(|head| head.version > held) {
+        let delta = release::load(store, &head, &mut followed.cache).await?;
+        followed.head = Some(head);
         hub.advance(&delta).await;
     }
     Ok(())
--- a/crates/node/src/foreign.rs
+++ b/crates/node/src/foreign.rs
@@ -32,6 +32,8 @@
     Configuration,
     /// A configuration that another process passed on.
     PeerConfig,
+    /// The epoch in an answer of the platform's store.
+    StoreEpoch,
 }
 
 impl ForeignPlace {
@@ -45,12 +47,13 @@
             ForeignPlace::Evacuation => "evacuation",
             ForeignPlace::Configuration => "configuration",
             ForeignPlace::PeerConfig => "peer_config",
+            ForeignPlace::StoreEpoch => "store_epoch",
         }
     }
 }
 
 /// When the last line was written, for each place.
-static WRITTEN: [sync::Mutex<Option<time::Instant>>; 7] = [const { sync::Mutex::new(None) }; 7];
+static WRITTEN: [sync::Mutex<Option<time::Instant>>; 8] = [const { sync::Mutex::new(None) }; 8];
 
 /// Counts something that cannot be used, and logs it if its place has been quiet.
 pub fn note(place: ForeignPlace, name: &str, problem: impl fmt::Display) {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -58,14 +58,21 @@
 pub struct HttpAnswer {
     /// The status.
     pub status: u16,
-    /// The `etag` header, without its quotes.
-    pub etag: Option<String>,
+    /// The headers.
+    pub headers: hyper::HeaderMap,
     /// The `retry-after` header, in seconds.
     pub retry_after_s: Option<u32>,
     /// The body.
     pub body: Vec<u8>,
 }
 
+impl HttpAnswer {
+    /// A header as text, without quotes.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header_text(&self.headers, name)
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallError {
@@ -139,23 +146,22 @@
 }
 
 async fn read_answer(response: hyper::Response<body::Incoming>) -> Result<HttpAnswer, CallError> {
-    let header = |name| {
-        let value = response.headers().get(name)?;
-        Some(value.to_str().ok()?.trim_matches('"').to_owned())
-    };
-    let etag = header(hyper::header::ETAG);
-    let retry_after = header(hyper::header::RETRY_AFTER);
-    let status = response.status().as_u16();
-    let limited = http_body_util::Limited::new(response.into_body(), LONGEST_BODY);
+    let (parts, incoming) = response.into_parts();
+    let retry_after = header_text(&parts.headers, hyper::header::RETRY_AFTER.as_str());
+    let limited = http_body_util::Limited::new(incoming, LONGEST_BODY);
     let body = limited.collect().await.map_err(|_| CallError::Broken)?;
     Ok(HttpAnswer {
-        status,
-        etag,
+        status: parts.status.as_u16(),
         retry_after_s: retry_after.and_then(|text| text.parse().ok()),
+        headers: parts.headers,
         body: body.to_bytes().to_vec(),
     })
 }
 
+fn header_text<'a>(headers: &'a hyper::HeaderMap, name: &str) -> Option<&'a str> {
+    Some(headers.get(name)?.to_str().ok()?.trim_matches('"'))
+}
+
 /// A call that a server takes.
 #[derive(Clone, Debug)]
 pub struct HttpRequest {
@@ -180,7 +186,7 @@
 
     /// A header as text, without quotes.
     pub fn header(&self, name: &str) -> Option<&str> {
-        Some(self.headers.get(name)?.to_str().ok()?.trim_matches('"'))
+        header_text(&self.headers, name)
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod clock;
 pub mod control;
 pub mod difference;
+pub mod epoch;
 pub mod foreign;
 pub mod http;
 pub mod identity;
--- a/crates/node/src/release/mod.rs
+++ b/crates/node/src/release/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod addresses;
 pub mod parts;
+pub mod restore;
 
 use std::collections;
 use std::time;
@@ -15,6 +16,7 @@
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
 use rosemaryusher_core::manifest;
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::ticket;
 use serde::Deserialize;
 use serde::Serialize;
@@ -138,10 +140,9 @@
     head: &platform::StoredObject,
     cache: &mut parts::PartCache,
 ) -> eyre::Result<config::ConfigDelta> {
-    let object: HeadObject =
-        serde_json::from_str(&head.value).wrap_err("the head object is damaged")?;
+    let object = read_head_object(head)?;
     let services = cache.load(store, &object.parts).await?;
-    let generation = ids::ConfigGeneration(head.version);
+    let generation = ids::ConfigGeneration(head.version.packed());
     Ok(config::ConfigDelta {
         since: ids::ConfigGeneration(0),
         generation,
@@ -199,13 +200,13 @@
 
 /// The head as it was read, with its version.
 struct HeldHead {
-    version: Option<u64>,
+    version: Option<store_epoch::StoreRevision>,
     object: HeadObject,
 }
 
 impl HeldHead {
     fn generation(&self) -> ids::ConfigGeneration {
-        ids::ConfigGeneration(self.version.unwrap_or(0))
+        ids::ConfigGeneration(self.version.map_or(0, store_epoch::StoreRevision::packed))
     }
 
     /// The generation that a write became, if it was accepted: the head's own where it is the
@@ -298,7 +299,7 @@
     for attempt in 0..STORE_ATTEMPTS {
         match store.put(HEAD_KEY, value.clone(), held.condition()).await {
             Ok(version) => {
-                return Ok(ReleaseOutcome::Accepted(ids::ConfigGeneration(version)));
+                return Ok(ReleaseOutcome::Accepted(ids::ConfigGeneration(version.packed())));
             }
             Err(platform::StoreError::Unavailable) => back_off(attempt).await,
             Err(platform::StoreError::Conflict | platform::StoreError::Unknown) => {
@@ -337,15 +338,14 @@
 
 async fn read_head(store: &dyn platform::ObjectStore) -> eyre::Result<HeldHead> {
     let stored = read_object(store, HEAD_KEY).await?;
-    let object = match &stored {
-        Some(stored) => {
-            serde_json::from_str(&stored.value).wrap_err("the head object is damaged")?
-        }
-        None => HeadObject::default(),
-    };
+    let object = stored.as_ref().map(read_head_object).transpose()?.unwrap_or_default();
     Ok(HeldHead { version: stored.map(|stored| stored.version), object })
 }
 
+fn read_head_object(stored: &platform::StoredObject) -> eyre::Result<HeadObject> {
+    serde_json::from_str(&stored.value).wrap_err("the head object is damaged")
+}
+
 async fn read_object(
     store: &dyn platform::ObjectStore,
     key: &str,
--- a/crates/node/src/release/parts.rs
+++ b/crates/node/src/release/parts.rs
@@ -75,6 +75,26 @@
     Err(platform::StoreError::Unavailable.into())
 }
 
+/// Writes parts again that a restored store may lack, as they were read before.
+pub(super) async fn write_again(
+    store: &dyn platform::ObjectStore,
+    keys: &[String],
+    cache: &PartCache,
+) -> eyre::Result<()> {
+    for key in keys {
+        let specs = cache.parts.get(key);
+        let specs = specs.ok_or_else(|| eyre::eyre!("part {key} was never read here"))?;
+        let value = serde_json::to_string(specs)?;
+        eyre::ensure!(key_of(&value) == *key, "part {key} would not be what it was");
+        write_part(store, key, &value).await?;
+    }
+    Ok(())
+}
+
+fn key_of(value: &str) -> String {
+    format!("config/part-{}", blake3::hash(value.as_bytes()).to_hex())
+}
+
 pub(super) fn parts_of(
     manifest: &manifest::ServiceManifest,
 ) -> eyre::Result<collections::BTreeMap<String, String>> {
@@ -86,8 +106,7 @@
     let mut parts = collections::BTreeMap::new();
     for specs in buckets.values() {
         let value = serde_json::to_string(specs)?;
-        let key = format!("config/part-{}", blake3::hash(value.as_bytes()).to_hex());
-        parts.insert(key, value);
+        parts.insert(key_of(&value), value);
     }
     Ok(parts)
 }
--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -1,10 +1,13 @@
 //! A process's announcement on the platform, and the list of those of the others.
 
 use std::rc;
+use std::sync::atomic;
 
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream;
 
 use crate::foreign;
+use crate::logs;
 use crate::platform;
 use crate::stream::hub;
 use crate::stream::packets;
@@ -30,8 +33,14 @@
     let mut has_read = false;
     loop {
         if has_read && status::holds(&hub.status.hears_balancer) {
-            pause_ms = pauses::FIRST_MS;
             pauses::sleep_ms(LONELY_MS).await;
+            if may_be_lost(&hub) {
+                pauses::sleep_ms(pauses::spread(platform::ANNOUNCE_SPREAD_MS)).await;
+                let result = announce_again(&hub).await;
+                hub.note_platform(result).await;
+            } else {
+                pause_ms = pauses::FIRST_MS;
+            }
             continue;
         }
         match announce_and_read(&hub).await {
@@ -50,10 +59,43 @@
     }
 }
 
+/// Whether a restored store may lack this process's announcement.
+///
+/// A process that starts then would not ask here for streams that it knows nothing of, and could reset
+/// one that is open.
+fn may_be_lost(hub: &hub::StreamHub) -> bool {
+    let announced = hub.announced.get().filter(|_| !hub.is_leaving.get());
+    announced.is_some_and(|announced| is_overtaken(hub, announced))
+}
+
+/// Whether the store was restored since an announcement was written or seen there.
+fn is_overtaken(hub: &hub::StreamHub, announced: store_epoch::StoreRevision) -> bool {
+    announced.epoch.0 < hub.status.store_epoch.load(atomic::Ordering::Relaxed)
+}
+
+/// Announces this process again if a restored store lacks its announcement.
+async fn announce_again(hub: &hub::StreamHub) -> Result<(), platform::StoreError> {
+    let store = hub.link.borrow().store.clone();
+    let found = store.get(&announcement_key(hub)).await?;
+    match found.filter(|object| is_own(hub, object)) {
+        Some(object) => {
+            hub.announced.set(Some(object.version));
+            Ok(())
+        }
+        None => {
+            logs::event(&serde_json::json!({ "event": "announced_again" }));
+            announce(hub, platform::WriteCondition::Always).await
+        }
+    }
+}
+
 async fn announce_and_read(
     hub: &hub::StreamHub,
 ) -> Result<Vec<stream::AnnouncedMember>, platform::StoreError> {
     let store = hub.link.borrow().store.clone();
+    if may_be_lost(hub) {
+        hub.announced.set(None);
+    }
     let must_announce = hub.announced.get().is_none() && !hub.is_leaving.get();
     if must_announce {
         announce(hub, platform::WriteCondition::Absent).await?;
@@ -120,6 +162,14 @@
     }
     let Some(version) = hub.announced.take() else { return };
     let store = hub.link.borrow().store.clone();
+    // A version from before a restore may stand for another's object by now.
+    let version = match is_overtaken(hub, version) {
+        true => match store.get(&announcement_key(hub)).await {
+            Ok(Some(object)) if is_own(hub, &object) => object.version,
+            _ => return,
+        },
+        false => version,
+    };
     if let Err(error) = store.remove(&announcement_key(hub), version).await {
         log::info!("the announcement of this process stays behind: {error}");
     }
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -161,6 +161,7 @@
         executor: executor.clone(),
         reaches_platform: cell::Cell::new(None),
         announced: cell::Cell::new(None),
+        told_epoch: cell::Cell::default(),
         is_leaving: cell::Cell::new(false),
     });
     smol::block_on(executor.run(async {
--- a/crates/node/src/stream/hub.rs
+++ b/crates/node/src/stream/hub.rs
@@ -11,6 +11,7 @@
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream::evacuation;
 use smol::channel;
 
@@ -43,7 +44,9 @@
     pub(crate) metrics: meters::MetricsPage,
     pub(crate) executor: rc::Rc<smol::LocalExecutor<'static>>,
     pub(crate) reaches_platform: cell::Cell<Option<bool>>,
-    pub(crate) announced: cell::Cell<Option<u64>>,
+    pub(crate) announced: cell::Cell<Option<store_epoch::StoreRevision>>,
+    /// The epoch of the store that the thread that decides was told.
+    pub(crate) told_epoch: cell::Cell<store_epoch::StoreEpoch>,
     pub(crate) is_leaving: cell::Cell<bool>,
 }
 
@@ -91,6 +94,10 @@
     /// Notes whether the platform answered, and logs when that changes: a line for each call that
     /// fails would be most of the log through an outage.
     pub(crate) async fn note_platform(&self, result: Result<(), platform::StoreError>) {
+        let epoch = self.link.borrow().store.epoch();
+        if self.told_epoch.replace(epoch) != epoch {
+            self.tell(packets::StreamInput::StoreEpoch(epoch)).await;
+        }
         let reaches = result.is_ok();
         if self.reaches_platform.replace(Some(reaches)) == Some(reaches) {
             return;
--- a/crates/node/src/stream/journal.rs
+++ b/crates/node/src/stream/journal.rs
@@ -130,6 +130,9 @@
         note::StreamNote::ConfigInForce { generation } => {
             metrics::gauge!("rosemaryusher_config_generation").set(generation.0 as f64);
         }
+        note::StreamNote::StoreRestored { to, .. } => {
+            metrics::gauge!("rosemaryusher_store_epoch").set(to.0 as f64);
+        }
         note::StreamNote::EvacuationsChanged { data_centres, .. } => {
             metrics::gauge!("rosemaryusher_evacuated_data_centres").set(data_centres.len() as f64);
         }
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -12,6 +12,7 @@
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::evacuation;
 use rosemaryusher_core::stream::message;
@@ -51,6 +52,8 @@
     Members(Vec<stream::AnnouncedMember>),
     /// Whether the last call to the platform succeeded.
     Platform(bool),
+    /// The epoch of the platform's store, by its answers.
+    StoreEpoch(store_epoch::StoreEpoch),
     /// The backend server's report.
     HostReport(report::HostReport),
     /// A run of the backend server has left.
@@ -248,6 +251,7 @@
             StreamInput::Evacuations(state) => stream::StreamEvent::Evacuations(state),
             StreamInput::Members(members) => stream::StreamEvent::Members(members),
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
+            StreamInput::StoreEpoch(epoch) => stream::StreamEvent::StoreEpoch(epoch),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
             StreamInput::HostLeft(run) => stream::StreamEvent::HostLeft(run),
             StreamInput::MachineLooked { agent, is_there } => {
@@ -269,6 +273,8 @@
     fn publish(&self, now: ids::UnixMillis) {
         status::set(&self.status.is_ready, self.engine.is_ready(now));
         status::set(&self.status.knows_evacuations, self.engine.evacuations().is_known());
+        let store_epoch = self.engine.store_epoch().0;
+        self.status.store_epoch.store(store_epoch, atomic::Ordering::Relaxed);
         status::set(&self.status.is_watcher, self.engine.is_watcher());
         status::set(&self.status.hears_balancer, self.engine.hears_balancer());
         status::set(&self.status.is_busy, self.engine.is_busy());
--- a/crates/node/src/stream/pauses.rs
+++ b/crates/node/src/stream/pauses.rs
@@ -21,6 +21,12 @@
     millis / 2 + rand::rng().random_range(0..millis.max(1))
 }
 
+/// A pause of any length up to one, so that processes that have something to do at the same moment
+/// don't all do it then.
+pub(crate) fn spread(millis: u64) -> u64 {
+    rand::rng().random_range(0..millis.max(1))
+}
+
 pub(crate) async fn sleep_ms(millis: u64) {
     smol::Timer::after(time::Duration::from_millis(millis)).await;
 }
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -2,6 +2,7 @@
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
+use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::agent;
 use rosemaryusher_core::stream::balancer;
@@ -55,13 +56,21 @@
     }
 
     /// The evacuated data centres that are known here.
-    pub fn evacuations(&self) -> &evacuation::EvacuationState {
+    pub fn evacuations(&self) -> &evacuation::EvacuationBelief {
         match self {
             StreamRole::Balancer(engine) => engine.evacuations(),
             StreamRole::Agent(engine) => engine.evacuations(),
         }
     }
 
+    /// The latest epoch of the platform's store that was told here.
+    pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
+        match self {
+            StreamRole::Balancer(engine) => engine.store_epoch(),
+            StreamRole::Agent(engine) => engine.store_epoch(),
+        }
+    }
+
     /// Whether it is one of the few that watch the platform.
     pub fn is_watcher(&self) -> bool {
         match self {
@@ -105,6 +114,7 @@
                 "streams": engine.streams(),
                 "hears_balancer": engine.hears_balancer(),
                 "evacuations": engine.evacuations(),
+                "store_epoch": engine.store_epoch(),
             }),
         }
     }
@@ -125,6 +135,7 @@
         "owners": owners,
         "searches": searches,
         "evacuations": engine.evacuations(),
+        "store_epoch": engine.store_epoch(),
         "agents": agents.collect::<Vec<_>>(),
     })
 }
--- a/crates/node/src/stream/status.rs
+++ b/crates/node/src/stream/status.rs
@@ -13,6 +13,8 @@
     pub(crate) hears_balancer: atomic::AtomicBool,
     /// Whether a list of evacuated data centres is known here.
     pub(crate) knows_evacuations: atomic::AtomicBool,
+    /// The latest epoch of the platform's store that was told here, by it or by balancers.
+    pub(crate) store_epoch: atomic::AtomicU64,
     /// Whether work is in progress.
     pub(crate) is_busy: atomic::AtomicBool,
     /// Whether a backend server beside the process lives, and may hold streams.
--- a/crates/node/tests/release_race.rs
+++ b/crates/node/tests/release_race.rs
@@ -2,160 +2,19 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
 
-use std::cell;
-use std::collections;
-use std::time;
+mod support;
 
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
-use rosemaryusher_core::manifest;
 use rosemaryusher_node::platform;
 use rosemaryusher_node::release;
 use rosemaryusher_node::release::parts;
-
-/// A store in memory that fails as it is told to.
-#[derive(Default)]
-struct FakeStore {
-    objects: cell::RefCell<collections::BTreeMap<String, platform::StoredObject>>,
-    version: cell::Cell<u64>,
-    /// So many writes of the head take effect without an answer.
-    lost_heads: cell::Cell<u32>,
-    /// What another operator writes after the next lost head.
-    interloper: cell::RefCell<Option<release::ReleaseDraft>>,
-    /// So many calls fail before the store is back.
-    down_calls: cell::Cell<u32>,
-    reads: cell::Cell<u32>,
-}
-
-impl FakeStore {
-    fn is_down(&self) -> bool {
-        let left = self.down_calls.get();
-        self.down_calls.set(left.saturating_sub(1));
-        left > 0
-    }
-
-    fn write(
-        &self,
-        key: &str,
-        value: String,
-        condition: platform::WriteCondition,
-    ) -> Result<u64, platform::StoreError> {
-        let held = self.objects.borrow().get(key).map(|object| object.version);
-        let may_write = match condition {
-            platform::WriteCondition::Always => true,
-            platform::WriteCondition::Absent => held.is_none(),
-            platform::WriteCondition::Version(version) => held == Some(version),
-        };
-        if !may_write {
-            return Err(platform::StoreError::Conflict);
-        }
-        self.version.set(self.version.get() + 1);
-        let version = self.version.get();
-        let object = platform::StoredObject { key: key.to_owned(), version, value };
-        self.objects.borrow_mut().insert(key.to_owned(), object);
-        Ok(version)
-    }
-}
-
-impl platform::ObjectStore for FakeStore {
-    fn get<'a>(
-        &'a self,
-        key: &'a str,
-    ) -> platform::StoreFuture<'a, Result<Option<platform::StoredObject>, platform::StoreError>>
-    {
-        Box::pin(async move {
-            self.reads.set(self.reads.get() + 1);
-            match self.is_down() {
-                true => Err(platform::StoreError::Unavailable),
-                false => Ok(self.objects.borrow().get(key).cloned()),
-            }
-        })
-    }
-
-    fn watch<'a>(
-        &'a self,
-        key: &'a str,
-        _: u64,
-        _: time::Duration,
-    ) -> platform::StoreFuture<'a, Result<Option<platform::StoredObject>, platform::StoreError>>
-    {
-        self.get(key)
-    }
-
-    fn list<'a>(
-        &'a self,
-        _: &'a str,
-        _: usize,
-    ) -> platform::StoreFuture<'a, Result<Vec<platform::StoredObject>, platform::StoreError>> {
-        Box::pin(async { Ok(Vec::new()) })
-    }
-
-    fn put<'a>(
-        &'a self,
-        key: &'a str,
-        value: String,
-        condition: platform::WriteCondition,
-    ) -> platform::StoreFuture<'a, Result<u64, platform::StoreError>> {
-        Box::pin(async move {
-            if self.is_down() {
-                return Err(platform::StoreError::Unavailable);
-            }
-            let written = self.write(key, value, condition)?;
-            let lost = self.lost_heads.get();
-            if key != release::HEAD_KEY || lost == 0 {
-                return Ok(written);
-            }
-            self.lost_heads.set(lost - 1);
-            let interloper = self.interloper.borrow_mut().take();
-            if let Some(draft) = interloper {
-                release::submit(self, &draft, NOW).await.unwrap();
-            }
-            Err(platform::StoreError::Unknown)
-        })
-    }
-
-    fn remove<'a>(
-        &'a self,
-        _: &'a str,
-        _: u64,
-    ) -> platform::StoreFuture<'a, Result<(), platform::StoreError>> {
-        Box::pin(async { Ok(()) })
-    }
-}
-
-const NOW: ids::UnixMillis = ids::UnixMillis(1_000_000_000);
-
-fn manifest(services: &[(&str, &str, u32)]) -> manifest::ServiceManifest {
-    let spec = |(name, address, slots): &(&str, &str, u32)| manifest::ServiceSpec {
-        name: (*name).to_owned(),
-        requests: Some(address.parse().unwrap()),
-        datagrams: None,
-        streams: Vec::new(),
-        host_slots: *slots,
-        host_connections: 100,
-        rules: manifest::ServiceRules::default(),
-    };
-    manifest::ServiceManifest {
-        data_centres: vec!["a".to_owned()],
-        services: services.iter().map(spec).collect(),
-    }
-}
-
-fn draft(author: &str, services: &[(&str, &str, u32)]) -> release::ReleaseDraft {
-    release::ReleaseDraft {
-        author: author.to_owned(),
-        expected: None,
-        change: release::ReleaseChange::Manifest(manifest(services)),
-    }
-}
-
-fn submit(store: &FakeStore, draft: &release::ReleaseDraft) -> release::ReleaseOutcome {
-    smol::block_on(release::submit(store, draft, NOW)).unwrap()
-}
-
-fn in_force(store: &FakeStore) -> manifest::ServiceManifest {
-    smol::block_on(release::read_manifest(store)).unwrap().1
-}
+use support::FakeStore;
+use support::NOW;
+use support::draft;
+use support::in_force;
+use support::manifest;
+use support::submit;
 
 fn load(
     store: &FakeStore,
@@ -178,7 +37,7 @@
     store.lost_heads.set(1);
     let before = store.version.get();
     let outcome = submit(&store, &draft("ana", TWO));
-    let generation = ids::ConfigGeneration(store.objects.borrow()[release::HEAD_KEY].version);
+    let generation = ids::ConfigGeneration(store.head().unwrap().version.packed());
     assert_eq!(outcome, release::ReleaseOutcome::Accepted(generation));
     assert_eq!(store.version.get(), before + 2, "a part and the head, once each");
     assert_eq!(in_force(&store), manifest(TWO));
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -39,12 +39,23 @@
 
 #[derive(Default)]
 struct PlatformState {
-    objects: collections::BTreeMap<String, platform::StoredObject>,
+    objects: collections::BTreeMap<String, platform::ListedObject>,
     version: u64,
+    /// What a restore brings back.
+    copy: StoreCopy,
+    /// How often the store was restored from the copy, and one.
+    epoch: u64,
     faults: PlatformFaults,
     counts: PlatformCounts,
 }
 
+/// The store as it was at one moment.
+#[derive(Clone, Default)]
+struct StoreCopy {
+    objects: collections::BTreeMap<String, platform::ListedObject>,
+    version: u64,
+}
+
 type SharedState = rc::Rc<cell::RefCell<PlatformState>>;
 
 /// Serves until the process ends; prints its address first.
@@ -58,14 +69,29 @@
         let listener = http::listen(([127, 0, 0, 1], 0).into()).await?;
         println!("{}", serde_json::json!({ "control": listener.local_addr()? }));
         let state = SharedState::default();
-        let handler = move |request| handle(state.clone(), request);
+        state.borrow_mut().epoch = 1;
+        let handler = move |request| answer(state.clone(), request);
         http::serve(listener, executor.clone(), rc::Rc::new(handler)).await
     }))
 }
 
+async fn answer(state: SharedState, request: http::HttpRequest) -> http::HttpReply {
+    let reply = handle(state.clone(), request).await;
+    let epoch = state.borrow().epoch;
+    reply.with(platform::EPOCH_HEADER, epoch)
+}
+
 async fn handle(state: SharedState, request: http::HttpRequest) -> http::HttpReply {
     match (request.method.as_str(), request.path.as_str()) {
         ("PUT", "/faults") => return set_faults(&state, &request),
+        ("PUT", "/copy") => {
+            state.borrow_mut().take_copy();
+            return http::HttpReply::new(204, "");
+        }
+        ("PUT", "/restore") => {
+            state.borrow_mut().restore();
+            return http::HttpReply::new(204, "");
+        }
         ("GET", "/counts") => {
             let counts = state.borrow().counts;
             return http::HttpReply::json(200, &serde_json::json!(counts));
@@ -87,6 +113,19 @@
     }
 }
 
+impl PlatformState {
+    fn take_copy(&mut self) {
+        self.copy = StoreCopy { objects: self.objects.clone(), version: self.version };
+    }
+
+    /// Comes back from the copy: what was written since is gone, and versions are given out again.
+    fn restore(&mut self) {
+        self.objects = self.copy.objects.clone();
+        self.version = self.copy.version;
+        self.epoch += 1;
+    }
+}
+
 fn set_faults(state: &SharedState, request: &http::HttpRequest) -> http::HttpReply {
     match serde_json::from_slice(&request.body) {
         Ok(faults) => {
@@ -160,7 +199,7 @@
     };
     state.version += 1;
     let version = state.version;
-    let object = platform::StoredObject { key: key.clone(), version, value };
+    let object = platform::ListedObject { key: key.clone(), version, value };
     state.objects.insert(key, object);
     http::HttpReply::new(200, "").with("etag", quoted(version))
 }
