--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -300,6 +300,25 @@
         put(self.platform_address, "/faults", faults)
     }
 
+    /// Takes the copy of the platform's store that a later restore brings back.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub fn copy_store(&self) -> eyre::Result<()> {
+        put(self.platform_address, "/copy", &())
+    }
+
+    /// Has the platform's store come back from the copy: what was written since is gone, and its
+    /// versions are given out again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub fn restore_store(&self) -> eyre::Result<()> {
+        put(self.platform_address, "/restore", &())
+    }
+
     /// Has a host's backend server behave otherwise.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/standins/tests/store_restored.rs
@@ -0,0 +1,54 @@
+//! The platform's store comes back from a copy, beside real processes.
+
+#![allow(clippy::unwrap_used, reason = "a test that cannot go on fails")]
+
+use rosemaryusher_standins::caller;
+use rosemaryusher_standins::fleet;
+use rosemaryusher_standins::process;
+
+const SERVICE: &str = "statements";
+
+fn ask(fleet: &fleet::ProcessFleet, seed: u64) -> caller::CallerOutcome {
+    let address = fleet.service(SERVICE).requests;
+    smol::block_on(async {
+        let mut client = caller::CallerClient::connect(address, seed).await.unwrap();
+        client.post("/statements", &format!("statement-{seed}")).await
+    })
+}
+
+fn status(fleet: &fleet::ProcessFleet) -> serde_json::Value {
+    let address = fleet.platform_address.to_string();
+    let (_, status) = fleet.command(&["status", "--json", "--platform", &address]).unwrap();
+    serde_json::from_str(&status).unwrap()
+}
+
+/// An operator was told that a manifest is accepted, and the store comes back from a copy of before. The
+/// balancers write it again, under a later generation that all processes move to; callers are answered
+/// all the while, and the next manifest is accepted on top of it.
+#[test]
+fn accepted_survives() {
+    let fleet = fleet::ProcessFleet::serving(&[SERVICE], 2, 2, 41).unwrap();
+    fleet.copy_store().unwrap();
+    let mut manifest = fleet.manifest();
+    manifest["services"][0]["host_slots"] = 7.into();
+    let (code, text) = fleet.apply("ana", &manifest, &[]).unwrap();
+    assert_eq!(code, Some(0), "{text}");
+    let before = status(&fleet);
+    fleet.restore_store().unwrap();
+    let outcome = ask(&fleet, 1);
+    assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
+    process::wait_for("the manifest that was accepted", || {
+        let status = status(&fleet);
+        let is_back = status["services"][0]["host_slots"] == 7;
+        let is_later = status["generation"].as_u64() > before["generation"].as_u64();
+        (is_back && is_later).then_some(())
+    })
+    .unwrap();
+    fleet.settle().unwrap();
+    let outcome = ask(&fleet, 2);
+    assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
+    manifest["services"][0]["host_slots"] = 8.into();
+    let (code, text) = fleet.apply("bea", &manifest, &[]).unwrap();
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("in force on 2 of 2 balancers"), "{text}");
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -78,7 +78,7 @@
 stream-first-report-proves-nothing	crates/core/src/stream/agent/hosting.rs	s/if is_first_heard && self\.has_just_begun\(report\) =>/if is_first_heard \&\& self.has_just_begun(report) \&\& false =>/	-p rosemaryusher-core --test stream_search dead_and_sure
 stream-any-first-proves	crates/core/src/stream/agent/hosting.rs	s/report\.sequence <= FIRST_SEQUENCE && report\.run\.born\.is_none_or\(began_with_agent\)/report.run.born.is_none_or(began_with_agent) || true/	-p rosemaryusher-core --test stream_moves agent_restarted
 stream-birth-before-agent	crates/core/src/stream/agent/hosting.rs	s/report\.run\.born\.is_none_or\(began_with_agent\)/(report.run.born.is_none_or(began_with_agent) || true)/	-p rosemaryusher-core --test host_reborn first_report_late
-stream-equals-in-order	crates/core/src/stream/board.rs	s/random\.next_u32\(\), agent\)/{ let _ = \&mut *random; 0_u32 }, agent)/	-p rosemaryusher-core --test even_load
+stream-equals-in-order	crates/core/src/stream/cost.rs	s/random\.next_u32\(\), agent\)/{ let _ = \&mut *random; 0_u32 }, agent)/	-p rosemaryusher-core --test even_load
 one-bad-item-loses-all	platform/src/store.rs	s/Err\(error\) => \{\n(\s+)foreign::note\(place, &name\.unwrap_or_default\(\), error\);\n\s+None\n/Err(error) => {\n$1panic!("{error} {name:?} {place:?}");\n/	-p rosemaryusher-platform --test foreign_entries
 stream-stale-openings	crates/core/src/stream/policy.rs	s/pause_ms: 500/pause_ms: u32::MAX/	-p rosemaryusher-core --test stream_moves frozen
 stream-news-ignored	crates/core/src/stream/balancer/neighbours.rs	s/if report\.generation > self\.state\.generation\(\) \{/if false {/g	-p rosemaryusher-core --test config_news
@@ -120,6 +120,7 @@
 epoch-release-dropped	crates/node/src/release/restore.rs	s/_ => HeadFate::Lost,/_ => HeadFate::Replaced,/	-p rosemaryusher-node --test epoch_release_kept
 epoch-announced-once	crates/node/src/stream/announce.rs	s/is_overtaken\(hub, announced\)\)/false \&\& is_overtaken(hub, announced))/	-p rosemaryusher-platform --test epoch_announcement_again
 lost-before-answer	crates/core/src/stream/balancer/routing.rs	s/if !self\.board\.is_fresh\(agent, now\) =>/if false =>/	-p rosemaryusher-core --test stream_search lost_before_answer
+waiting-never-sure	crates/core/src/stream/waiting.rs	s/pace\.work_ms > 0 && answered_ms <= limit_ms/false \&\& answered_ms <= limit_ms/	-p rosemaryusher-core --test stream_room burst_waits
 evacuation-unknown-placed	crates/core/src/stream/balancer/evacuations.rs	s/is_unknown && now\.since\(self\.started\) < KNOWLEDGE_WAIT_MS/false \&\& is_unknown \&\& now.since(self.started) < KNOWLEDGE_WAIT_MS/	-p rosemaryusher-core --test evacuate_restart known_before_first
 evacuation-waits-for-ever	crates/core/src/stream/balancer/evacuations.rs	s/const KNOWLEDGE_WAIT_MS: u64 = 1_000/const KNOWLEDGE_WAIT_MS: u64 = 100_000/	-p rosemaryusher-core --test evacuate_restart nobody_can_tell
 evacuation-untold	crates/core/src/stream/balancer/neighbours.rs	s/self\.take_evacuations\(&report\.evacuations, now, actions\);//	-p rosemaryusher-core --test evacuate_restart told_by_another
