--- a/crates/core/tests/epoch_evacuation_kept.rs
+++ b/crates/core/tests/epoch_evacuation_kept.rs
@@ -10,18 +10,6 @@
 /// Long after which a restore is over, in milliseconds: longer than what it lost is held.
 const OVER_MS: u64 = 31_000;
 
-/// Opens a few streams; says whether any opened at the far agents.
-fn opens_far(world: &mut world::StreamWorld, callers: std::ops::Range<u16>) -> bool {
-    let mut far = false;
-    for caller in callers {
-        let key = world::key(caller, 0);
-        world.open(key, 0);
-        world.advance(10);
-        far |= world.holders(key).iter().any(|nth| *nth >= 3);
-    }
-    far
-}
-
 /// A far data centre is evacuated, the store comes back from a copy of before, and operators write the
 /// entry again two seconds later. Callers' streams open elsewhere all the while: the far machines may be
 /// about to be switched off. Taken back then, it serves at once, though the revision is a lower one.
@@ -37,12 +25,12 @@
     world.restore_store(4, 2_000);
     for round in 0..5_u16 {
         world.advance(400);
-        assert!(!opens_far(&mut world, round * 10..round * 10 + 10), "round {round}");
+        assert!(!world.opens_far(round * 10..round * 10 + 10), "round {round}");
     }
     world.advance(1_000);
     world.evacuate(&[]);
     world.advance(500);
-    assert!(opens_far(&mut world, 100..140));
+    assert!(world.opens_far(100..140));
 }
 
 /// The entry is never written again: the far data centre was taken back at the moment of the restore.
@@ -55,9 +43,9 @@
     world.restore_store(1, 2 * OVER_MS);
     world.want_none_evacuated();
     world.advance(1_000);
-    assert!(!opens_far(&mut world, 0..20));
+    assert!(!world.opens_far(0..20));
     world.advance(OVER_MS);
-    assert!(opens_far(&mut world, 100..140));
+    assert!(world.opens_far(100..140));
 }
 
 /// A balancer starts between the restore and the writing again. The store tells it of no evacuation;
@@ -75,7 +63,7 @@
     let kept = world.balancers[&newcomer].evacuations().kept();
     assert!(kept.contains(evacuations::FAR), "the store alone lists none");
     world.entry_balancer = newcomer;
-    assert!(!opens_far(&mut world, 0..20));
+    assert!(!world.opens_far(0..20));
 }
 
 /// The copy still has an evacuation that was taken back before the restore. Streams open elsewhere until
@@ -89,9 +77,9 @@
     world.advance(300);
     world.restore_store(1, 1_000);
     world.advance(500);
-    assert!(!opens_far(&mut world, 0..20));
+    assert!(!world.opens_far(0..20));
     world.advance(1_500);
-    assert!(opens_far(&mut world, 100..140));
+    assert!(world.opens_far(100..140));
 }
 
 /// A list from before the restore comes late, with a greater number. It changes nothing.
@@ -108,7 +96,7 @@
     let to = world::balancer_address(1);
     world.handle(to, rosemaryusher_core::stream::StreamEvent::Evacuations(late));
     world.advance(300);
-    assert!(opens_far(&mut world, 0..40));
+    assert!(world.opens_far(0..40));
 }
 
 /// Each process logs once that the store was restored, those too that never call it.
--- a/crates/core/tests/evacuate_again.rs
+++ b/crates/core/tests/evacuate_again.rs
@@ -7,18 +7,6 @@
 use stream_world as world;
 use stream_world::evacuations;
 
-/// Opens a few streams; says whether any opened at the far agents.
-fn opens_far(world: &mut world::StreamWorld, callers: std::ops::Range<u16>) -> bool {
-    let mut far = false;
-    for caller in callers {
-        let key = world::key(caller, 0);
-        world.open(key, 0);
-        world.advance(10);
-        far |= world.holders(key).iter().any(|nth| *nth >= 3);
-    }
-    far
-}
-
 /// Operators evacuate a data centre, take it back and evacuate it again, with a second between. At
 /// each step new streams go where the last list says.
 #[test]
@@ -30,7 +18,7 @@
         world.evacuate(listed);
         world.advance(1_000);
         let callers = round * 40..round * 40 + 40;
-        assert_eq!(opens_far(&mut world, callers), !is_evacuated, "round {round}");
+        assert_eq!(world.opens_far(callers), !is_evacuated, "round {round}");
     }
 }
 
@@ -44,12 +32,12 @@
     world.advance(300);
     let before = world.evacuations(0);
     world.handle(world::balancer_address(1), stream::StreamEvent::Evacuations(before));
-    assert!(!opens_far(&mut world, 0..40));
+    assert!(!world.opens_far(0..40));
     world.evacuate(&[]);
     world.advance(300);
     let during = world.evacuations(1);
     world.handle(world::balancer_address(1), stream::StreamEvent::Evacuations(during));
-    assert!(opens_far(&mut world, 40..80));
+    assert!(world.opens_far(40..80));
 }
 
 /// Both data centres are evacuated one after the other, and the first is taken back: streams open there
@@ -63,7 +51,7 @@
     world.advance(300);
     world.evacuate(&[evacuations::FAR]);
     world.advance(300);
-    assert!(!opens_far(&mut world, 0..40));
+    assert!(!world.opens_far(0..40));
     for caller in 0..40 {
         assert!(world.view(world::key(caller, 0)).first.is_some());
     }
--- a/crates/core/tests/stream_world/evacuations.rs
+++ b/crates/core/tests/stream_world/evacuations.rs
@@ -87,6 +87,18 @@
         self.evacuated[nth].1.clone()
     }
 
+    /// Opens a few streams; says whether any opened at the far agents.
+    pub(crate) fn opens_far(&mut self, callers: std::ops::Range<u16>) -> bool {
+        let mut far = false;
+        for caller in callers {
+            let key = super::key(caller, 0);
+            self.open(key, 0);
+            self.advance(10);
+            far |= self.holders(key).iter().any(|nth| *nth >= 3);
+        }
+        far
+    }
+
     /// One process reads the platform's list.
     pub(super) fn deliver_evacuations(&mut self, to: net::SocketAddrV4) {
         if !self.lists_evacuations || self.listed.revision().number == 0 {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::backend;
+use crate::caller;
 use crate::fabric;
 use crate::platform;
 use crate::process;
@@ -319,6 +320,19 @@
         put(self.platform_address, "/restore", &())
     }
 
+    /// Has a fresh caller send a request to a service that must not run twice.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be had.
+    pub fn ask(&self, service: &str, seed: u64) -> eyre::Result<caller::CallerOutcome> {
+        let address = self.service(service).requests;
+        smol::block_on(async {
+            let mut client = caller::CallerClient::connect(address, seed).await?;
+            Ok(client.post("/statements", &format!("statement-{seed}")).await)
+        })
+    }
+
     /// Has a host's backend server behave otherwise.
     ///
     /// # Errors
--- a/crates/standins/tests/platform_outage.rs
+++ b/crates/standins/tests/platform_outage.rs
@@ -8,14 +8,6 @@
 
 const SERVICE: &str = "statements";
 
-fn ask(fleet: &fleet::ProcessFleet, seed: u64) -> caller::CallerOutcome {
-    let address = fleet.service(SERVICE).requests;
-    smol::block_on(async {
-        let mut client = caller::CallerClient::connect(address, seed).await.unwrap();
-        client.post("/statements", &format!("statement-{seed}")).await
-    })
-}
-
 /// Callers notice nothing while the platform is down, and a balancer that starts then serves.
 /// It finds the others by its settings and has the configuration from them.
 #[test]
@@ -27,7 +19,7 @@
     fleet.start_balancer("balancer-2", &peers).unwrap();
     fleet.settle().unwrap();
     fleet.spray_over(&["balancer-2"]).unwrap();
-    let outcome = ask(&fleet, 1);
+    let outcome = fleet.ask(SERVICE, 1).unwrap();
     assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
     let (code, text) = fleet.apply("ana", &fleet.manifest(), &[]).unwrap();
     assert_eq!(code, Some(1), "{text}");
--- a/crates/standins/tests/store_restored.rs
+++ b/crates/standins/tests/store_restored.rs
@@ -8,14 +8,6 @@
 
 const SERVICE: &str = "statements";
 
-fn ask(fleet: &fleet::ProcessFleet, seed: u64) -> caller::CallerOutcome {
-    let address = fleet.service(SERVICE).requests;
-    smol::block_on(async {
-        let mut client = caller::CallerClient::connect(address, seed).await.unwrap();
-        client.post("/statements", &format!("statement-{seed}")).await
-    })
-}
-
 fn status(fleet: &fleet::ProcessFleet) -> serde_json::Value {
     let address = fleet.platform_address.to_string();
     let (_, status) = fleet.command(&["status", "--json", "--platform", &address]).unwrap();
@@ -35,7 +27,7 @@
     assert_eq!(code, Some(0), "{text}");
     let before = status(&fleet);
     fleet.restore_store().unwrap();
-    let outcome = ask(&fleet, 1);
+    let outcome = fleet.ask(SERVICE, 1).unwrap();
     assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
     process::wait_for("the manifest that was accepted", || {
         let status = status(&fleet);
@@ -45,7 +37,7 @@
     })
     .unwrap();
     fleet.settle().unwrap();
-    let outcome = ask(&fleet, 2);
+    let outcome = fleet.ask(SERVICE, 2).unwrap();
     assert!(matches!(outcome, caller::CallerOutcome::Answered(..)), "{outcome:?}");
     manifest["services"][0]["host_slots"] = 8.into();
     let (code, text) = fleet.apply("bea", &manifest, &[]).unwrap();
