--- a/crates/standins/src/bench/path.rs
+++ b/crates/standins/src/bench/path.rs
@@ -9,6 +9,7 @@
 use crate::bench::table;
 use crate::caller;
 use crate::fleet;
+use crate::pages;
 
 const SERVICE: &str = "service";
 
@@ -37,7 +38,7 @@
     let direct: net::SocketAddr =
         serde_json::from_value(host.backend.addresses()?["datagrams"].clone())?;
     let through = fleet.service(SERVICE).datagrams;
-    let entries = fleet::get(balancer.control, "/state")?["decisions"]["entries"].clone();
+    let entries = pages::get(balancer.control, "/state")?["decisions"]["entries"].clone();
     let entry: net::SocketAddr = serde_json::from_value(entries[through.to_string()].clone())?;
     let title = format!(
         "data path: echo of a datagram, {} pings one by one, then {} flows for {} ms",
@@ -130,8 +131,8 @@
 
 impl IdleSample {
     fn take(fleet: &fleet::ProcessFleet, host: &fleet::FleetHost) -> eyre::Result<IdleSample> {
-        let page = fleet::text(host.control, "/metrics")?;
-        let counts = fleet::get(fleet.platform_address, "/counts")?;
+        let page = pages::text(host.control, "/metrics")?;
+        let counts = pages::get(fleet.platform_address, "/counts")?;
         let calls =
             counts["reads"].as_f64().unwrap_or(0.0) + counts["writes"].as_f64().unwrap_or(0.0);
         Ok(IdleSample {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -7,12 +7,11 @@
 
 use eyre::OptionExt as _;
 use eyre::WrapErr as _;
-use rosemaryusher_node::http;
-use serde::Serialize;
 
 use crate::backend;
 use crate::caller;
 use crate::fabric;
+use crate::pages;
 use crate::platform;
 use crate::process;
 
@@ -283,7 +282,7 @@
         }
         let (lost_percent, doubled_percent) = (self.lost_percent, self.doubled_percent);
         let targets = fabric::FabricTargets { targets, lost_percent, doubled_percent };
-        put(self.fabric_control, "/targets", &targets)
+        pages::put(self.fabric_control, "/targets", &targets)
     }
 
     /// Has the fabric lose and double some datagrams from the next [`ProcessFleet::spray`] on.
@@ -298,7 +297,7 @@
     ///
     /// Fails if it does not answer.
     pub fn fail_platform(&self, faults: &platform::PlatformFaults) -> eyre::Result<()> {
-        put(self.platform_address, "/faults", faults)
+        pages::put(self.platform_address, "/faults", faults)
     }
 
     /// Takes the copy of the platform's store that a later restore brings back.
@@ -307,7 +306,7 @@
     ///
     /// Fails if it does not answer.
     pub fn copy_store(&self) -> eyre::Result<()> {
-        put(self.platform_address, "/copy", &())
+        pages::put(self.platform_address, "/copy", &())
     }
 
     /// Has the platform's store come back from the copy: what was written since is gone, and its
@@ -317,7 +316,7 @@
     ///
     /// Fails if it does not answer.
     pub fn restore_store(&self) -> eyre::Result<()> {
-        put(self.platform_address, "/restore", &())
+        pages::put(self.platform_address, "/restore", &())
     }
 
     /// Has a fresh caller send a request to a service that must not run twice.
@@ -340,7 +339,7 @@
     /// Fails if it does not answer.
     pub fn behave(&self, host: &str, behaviour: &backend::BackendBehaviour) -> eyre::Result<()> {
         let host = self.hosts.get(host).ok_or_eyre("no such host")?;
-        put(host.backend_control, "/behaviour", behaviour)
+        pages::put(host.backend_control, "/behaviour", behaviour)
     }
 
     /// Waits until every process knows every other and all have the same configuration.
@@ -353,11 +352,12 @@
         let balancers = self.balancers.values().map(|balancer| balancer.control);
         let controls: Vec<_> = agents.chain(balancers).collect();
         process::wait_for("the fleet to settle", || {
-            let states: Option<Vec<_>> = controls.iter().map(|c| get(*c, "/state").ok()).collect();
+            let states: Option<Vec<_>> =
+                controls.iter().map(|c| pages::get(*c, "/state").ok()).collect();
             let states = states?;
             let first = &states[0]["generation"];
             let agree = states.iter().all(|state| {
-                let alive = reachable(state).len();
+                let alive = pages::reachable(state).len();
                 state["generation"] == *first && *first != 0 && alive == controls.len()
             });
             agree.then_some(())
@@ -378,7 +378,7 @@
     pub fn runs(&self) -> eyre::Result<collections::BTreeMap<String, u64>> {
         let mut runs = collections::BTreeMap::new();
         for host in self.hosts.values() {
-            let page = get(host.backend_control, "/runs")?;
+            let page = pages::get(host.backend_control, "/runs")?;
             let counts: collections::BTreeMap<String, u64> =
                 serde_json::from_value(page["runs"].clone())?;
             for (id, count) in counts {
@@ -431,7 +431,7 @@
         balancer: &FleetBalancer,
     ) -> eyre::Result<collections::BTreeMap<net::SocketAddr, net::SocketAddr>> {
         process::wait_for("a balancer's entries", || {
-            let state = get(balancer.control, "/state").ok()?;
+            let state = pages::get(balancer.control, "/state").ok()?;
             let entries = state["decisions"]["entries"].clone();
             let entries: collections::BTreeMap<net::SocketAddr, net::SocketAddr> =
                 serde_json::from_value(entries).ok()?;
@@ -440,47 +440,6 @@
     }
 }
 
-/// Reads a page of JSON.
-///
-/// # Errors
-///
-/// Fails if it cannot be read.
-pub fn get(address: net::SocketAddr, path: &str) -> eyre::Result<serde_json::Value> {
-    Ok(serde_json::from_str(&text(address, path)?)?)
-}
-
-/// Reads a page of text.
-///
-/// # Errors
-///
-/// Fails if it cannot be read.
-pub fn text(address: net::SocketAddr, path: &str) -> eyre::Result<String> {
-    let timeout = time::Duration::from_secs(5);
-    let call = http::HttpCall::new(hyper::Method::GET, address, path, timeout);
-    Ok(String::from_utf8(smol::block_on(http::call(call))?.body)?)
-}
-
-/// The processes that a state shows as reachable, by name.
-pub fn reachable(state: &serde_json::Value) -> Vec<String> {
-    let members = state["members"].as_array().cloned().unwrap_or_default();
-    let is_reachable = |member: &&serde_json::Value| {
-        let left = member["phase"].get("Left").is_some();
-        member["liveness"]["state"] != "Dead" && !left
-    };
-    let name = |member: &serde_json::Value| member["name"].as_str().unwrap_or("?").to_owned();
-    members.iter().filter(is_reachable).map(name).collect()
-}
-
-fn put(address: net::SocketAddr, path: &str, value: &impl Serialize) -> eyre::Result<()> {
-    let timeout = time::Duration::from_secs(5);
-    let mut call = http::HttpCall::new(hyper::Method::PUT, address, path, timeout);
-    call.body = serde_json::to_vec(value)?;
-    match smol::block_on(http::call(call))? {
-        answer if answer.status == 204 => Ok(()),
-        answer => Err(eyre::eyre!("{path} answered {}", answer.status)),
-    }
-}
-
 fn control_of(told: &serde_json::Value) -> eyre::Result<net::SocketAddr> {
     Ok(serde_json::from_value(told["control"].clone())?)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod fleet;
 pub mod limit;
 pub mod load;
+pub mod pages;
 pub mod platform;
 pub mod process;
--- a/crates/standins/tests/agent_loss.rs
+++ b/crates/standins/tests/agent_loss.rs
@@ -6,6 +6,7 @@
 use rosemaryusher_standins::backend;
 use rosemaryusher_standins::caller;
 use rosemaryusher_standins::fleet;
+use rosemaryusher_standins::pages;
 use rosemaryusher_standins::process;
 
 const SERVICE: &str = "wallet-api";
@@ -31,7 +32,7 @@
 fn host_of_run(fleet: &fleet::ProcessFleet, id: &str) -> String {
     process::wait_for("the transfer to run", || {
         let ran = |host: &fleet::FleetHost| {
-            let page = fleet::get(host.backend_control, "/runs").unwrap();
+            let page = pages::get(host.backend_control, "/runs").unwrap();
             page["runs"].get(id).is_some()
         };
         let found = fleet.hosts.iter().find(|(_, host)| ran(host));
@@ -44,8 +45,8 @@
 fn wait_gone(fleet: &fleet::ProcessFleet, name: &str) {
     process::wait_for("the process to be gone", || {
         let knows = |balancer: &fleet::FleetBalancer| {
-            let state = fleet::get(balancer.control, "/state").unwrap();
-            !fleet::reachable(&state).contains(&name.to_owned())
+            let state = pages::get(balancer.control, "/state").unwrap();
+            !pages::reachable(&state).contains(&name.to_owned())
         };
         fleet.balancers.values().all(knows).then_some(())
     })
--- a/crates/standins/tests/bad_input.rs
+++ b/crates/standins/tests/bad_input.rs
@@ -6,6 +6,7 @@
 
 use rosemaryusher_standins::caller;
 use rosemaryusher_standins::fleet;
+use rosemaryusher_standins::pages;
 use rosemaryusher_standins::process;
 
 const SERVICE: &str = "horno";
@@ -21,10 +22,10 @@
     for piece in pieces {
         socket.send_to(piece, address).unwrap();
     }
-    let state = fleet::get(fleet.balancers["balancer-0"].control, "/state").unwrap();
+    let state = pages::get(fleet.balancers["balancer-0"].control, "/state").unwrap();
     let packets: net::SocketAddr =
         serde_json::from_value(state["own"]["packet_address"].clone()).unwrap();
-    let agent = fleet::get(fleet.hosts["horno-0"].control, "/state").unwrap();
+    let agent = pages::get(fleet.hosts["horno-0"].control, "/state").unwrap();
     let agent: net::SocketAddr =
         serde_json::from_value(agent["own"]["packet_address"].clone()).unwrap();
     for target in [packets, agent] {
@@ -34,7 +35,7 @@
     }
     let counted = |control, label: &str| {
         process::wait_for(label, || {
-            let page = fleet::text(control, "/metrics").unwrap();
+            let page = pages::text(control, "/metrics").unwrap();
             page.contains(&format!("reason=\"{label}\"")).then_some(())
         })
         .unwrap();
