Reports go to a drawn subset of the fleet, and members are passed on in parts

Cause: every agent reported to every balancer (ten times a second to near ones, three times to far ones), every balancer to every agent and every other balancer, and whoever accepted a configuration to all at once. A list of members in one datagram outgrew what a receiver reads (47,050 bytes for 2,000 members, of 4,096).

Ruled out: longer periods (the square stays); a line for each data centre (every balancer would place at the same agents); all state asked for at each opening (a round trip more, also where the fleet is small).

Change: a balancer subscribes to 20 near and 16 far agents of each service, drawn by rendezvous hashing, and to as many more as it takes for each near agent to have eight subscribers. An agent reports to its subscribers, and only introduces itself to others. Balancers report to eight that follow in the order by which watchers are found, and to 16 drawn ones. Members outside the subscriptions are known by the lists that balancers pass on, in parts of 128; those unmentioned for 10 s are asked for one report. They are searched for streams like all others. Fleets of up to 20 near agents and 25 balancers exchange what they did before.

The tests messages_bounded and change_bounded fail on the code before, and member_parts with the whole list in one message. Five mutants more, each noticed; two older ones refitted.

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -51,6 +51,10 @@
     /// When it was last told of the work in progress.
     told: ids::UnixMillis,
     is_heard: bool,
+    /// Whether it has asked for reports; before that, this agent only introduces itself.
+    is_subscriber: bool,
+    /// How often this agent has introduced itself.
+    introductions: u32,
     is_leaving: bool,
 }
 
@@ -61,6 +65,8 @@
             data_centre: None,
             told: ids::UnixMillis(0),
             is_heard: false,
+            is_subscriber: false,
+            introductions: 0,
             is_leaving: false,
         }
     }
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -14,6 +14,13 @@
 /// longer than those that lost power with it take to start and to hear of it.
 const HOST_NEW_MS: u64 = 5_000;
 
+/// How often an agent introduces itself to a balancer that has not asked for its reports: a datagram
+/// may be lost. While no balancer is heard, it goes on.
+const INTRODUCTIONS: u32 = 2;
+
+/// Between two introductions to the same balancer, in milliseconds.
+const INTRODUCTION_MS: u64 = 1_000;
+
 impl agent::StreamAgent {
     pub(super) fn meet(
         &mut self,
@@ -34,9 +41,35 @@
         report: &message::BalancerReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if report.wants_reports {
+            self.add_subscriber(from, report, now, actions);
+        } else {
+            self.balancers.remove(&from);
+            let report = self.own_report(now);
+            actions.push(stream::StreamAction::Tell(from, report));
+        }
+        if report.generation > self.state.generation() {
+            actions.push(stream::StreamAction::FetchConfig(from));
+        }
+        self.take_store_epoch(report.store_epoch, actions);
+        let was_evacuated = self.evacuations.covers(self.config.data_centre);
+        let outcome = self.evacuations.advance(&report.evacuations, now);
+        if outcome == evacuation::EvacuationOutcome::Changed {
+            self.put_evacuations_in_force(was_evacuated, now, actions);
+        }
+    }
+
+    fn add_subscriber(
+        &mut self,
+        from: net::SocketAddrV4,
+        report: &message::BalancerReport,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
     ) {
         let unknown = agent::KnownBalancer::unheard(now);
         let known = self.balancers.entry(from).or_insert(unknown);
+        known.is_subscriber = true;
         known.heard = now;
         known.data_centre = Some(report.data_centre);
         // The network sends to a balancer for a while after it has said that it leaves, and until
@@ -49,15 +82,6 @@
             let report = self.own_report(now);
             actions.push(stream::StreamAction::Tell(from, report));
         }
-        if report.generation > self.state.generation() {
-            actions.push(stream::StreamAction::FetchConfig(from));
-        }
-        self.take_store_epoch(report.store_epoch, actions);
-        let was_evacuated = self.evacuations.covers(self.config.data_centre);
-        let outcome = self.evacuations.advance(&report.evacuations, now);
-        if outcome == evacuation::EvacuationOutcome::Changed {
-            self.put_evacuations_in_force(was_evacuated, now, actions);
-        }
     }
 
     /// Gives up what the store has not listed again for long after it was restored.
@@ -113,7 +137,7 @@
         }
     }
 
-    /// Tells every balancer at once: something has changed that none may learn late.
+    /// Reports to every subscriber at once: something has changed that none may learn late.
     pub(super) fn report(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         for known in self.balancers.values_mut() {
             known.told = ids::UnixMillis(0);
@@ -121,7 +145,8 @@
         self.report_due(now, actions);
     }
 
-    /// Tells the balancers whose turn it is: near ones more often than far ones.
+    /// Reports to the subscribers whose turn it is, near ones more often than far ones, and introduces
+    /// itself to other balancers.
     pub(super) fn report_due(
         &mut self,
         now: ids::UnixMillis,
@@ -131,11 +156,18 @@
         self.report_sequence += 1;
         let report = self.own_report(now);
         let policy = self.config.policy.reports;
+        let is_alone = !self.hears_balancer();
         for (balancer, known) in &mut self.balancers {
             let is_far = known.data_centre.is_some_and(|centre| centre != self.config.data_centre);
-            let period_ms = if is_far { policy.far_ms } else { policy.near_ms };
-            if now.since(known.told) >= u64::from(period_ms) {
+            let period_ms = match known.is_subscriber {
+                true if is_far => policy.far_ms.into(),
+                true => policy.near_ms.into(),
+                false if is_alone || known.introductions < INTRODUCTIONS => INTRODUCTION_MS,
+                false => continue,
+            };
+            if now.since(known.told) >= period_ms {
                 known.told = now;
+                known.introductions += u32::from(!known.is_subscriber);
                 actions.push(stream::StreamAction::Tell(*balancer, report.clone()));
             }
         }
--- a/crates/core/src/stream/balancer/centres.rs
+++ b/crates/core/src/stream/balancer/centres.rs
@@ -64,7 +64,7 @@
 
     /// Whether an agent is in a data centre that is lost.
     pub(super) fn is_lost(&self, agent: net::SocketAddrV4) -> bool {
-        let report = self.board.get(agent).and_then(|known| known.report.as_ref());
-        report.is_some_and(|report| self.lost_centres.contains(&report.data_centre))
+        let centre = self.board.get(agent).and_then(|known| known.data_centre);
+        centre.is_some_and(|centre| self.lost_centres.contains(&centre))
     }
 }
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -54,11 +54,22 @@
     /// The data centres that it hears.
     hears: Vec<u32>,
     heard: ids::UnixMillis,
+    /// When another balancer last received a report from it.
+    mentioned: ids::UnixMillis,
+    /// When it was last asked whether it still runs.
+    requested: ids::UnixMillis,
     is_heard: bool,
     is_leaving: bool,
     reaches_platform: bool,
 }
 
+impl PeerBalancer {
+    /// When it was last known to run, by its own reports or by another balancer's.
+    fn last_seen(&self) -> ids::UnixMillis {
+        self.heard.max(self.mentioned)
+    }
+}
+
 /// What one balancer decides of streams.
 #[derive(Debug)]
 pub struct StreamBalancer {
@@ -217,6 +228,7 @@
                 }));
             }
         }
+        self.renew_subscriptions(now, actions);
         self.find_lost_centres(now, actions);
         let due_looks = self.board.take_due_looks(now).into_iter();
         actions.extend(due_looks.map(stream::StreamAction::LookAtMachine));
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -67,7 +67,7 @@
         key: segment::StreamKey,
     ) {
         // A stream whose address the configuration no longer names goes on where it is.
-        let known = || self.board.get(agent)?.report.as_ref().map(|report| report.service);
+        let known = || self.board.get(agent)?.service;
         let service = self.service_at(key).or_else(known).unwrap_or_default();
         let carry = message::CarryMessage {
             kind,
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/board.rs
@@ -14,12 +14,39 @@
 use crate::stream::machine;
 use crate::stream::message;
 use crate::stream::policy;
+use crate::stream::subset;
 
-/// How long an agent that is not heard is remembered, in milliseconds.
+/// How long an agent that nobody receives reports from is remembered, in milliseconds.
 ///
 /// Its backend server may still hold streams, and it may come back at the same address.
 const KEPT_MS: u64 = 30_000;
 
+/// How long an agent outside the subscriptions may be unmentioned before it is asked for a report, in
+/// milliseconds; several times what mentions take to come round.
+const MENTION_TIMEOUT_MS: u64 = 10_000;
+
+/// Between two such requests to the same agent, in milliseconds.
+const REQUEST_INTERVAL_MS: u64 = 1_000;
+
+/// Interval at which the draw of subscriptions is renewed, in milliseconds, so that agents that have
+/// failed are replaced.
+const DRAW_INTERVAL_MS: u64 = 1_000;
+
+/// How long a subscribed agent may take to report before another one is drawn in its place, in
+/// milliseconds.
+const REPLACE_MS: u64 = 2_000;
+
+/// Agents of each service and of this balancer's own data centre that it subscribes to.
+const NEAR_AGENTS: usize = 20;
+
+/// Agents of each service and of all other data centres that it subscribes to: they are needed only
+/// where near ones are full or unreachable.
+const FAR_AGENTS: usize = 16;
+
+/// How many balancers of a data centre subscribe to an agent there, on average and at least: with few,
+/// some agents would be drawn by none and get no streams.
+const LEAST_SUBSCRIBERS: usize = 8;
+
 /// How much earlier than a balancer the backend servers begin that lost their power with it, in
 /// milliseconds: machines come back within 300 of each other.
 const TOGETHER_MS: u64 = 500;
@@ -31,8 +58,16 @@
 /// What is known of one agent.
 #[derive(Clone, Debug)]
 pub struct KnownAgent {
-    /// Its last report; `None` if only its address is known.
+    /// Its last report; `None` if it is outside the subscriptions, or has not reported yet.
     pub report: Option<message::AgentReport>,
+    /// The service of its backend server, once announced, reported or mentioned.
+    pub service: Option<ids::ServiceId>,
+    /// Its data centre, once announced, reported or mentioned.
+    pub data_centre: Option<u32>,
+    /// When this balancer subscribed to its reports, if it does.
+    subscribed: Option<ids::UnixMillis>,
+    /// When it was last asked for a single report.
+    requested: ids::UnixMillis,
     /// When it was last heard.
     pub heard: ids::UnixMillis,
     /// Whether it counted as heard when that was last looked at.
@@ -44,8 +79,31 @@
 
 impl KnownAgent {
     fn is_in(&self, data_centre: u32) -> bool {
-        self.report.as_ref().is_some_and(|report| report.data_centre == data_centre)
+        self.data_centre == Some(data_centre)
     }
+
+    /// When it was last known to run, by its own messages or by another balancer's.
+    fn last_seen(&self) -> ids::UnixMillis {
+        self.heard.max(self.machine.told())
+    }
+
+    fn is_subscribed(&self) -> bool {
+        self.subscribed.is_some()
+    }
+
+    /// Whether it does not report although it was subscribed to long ago.
+    fn is_unresponsive(&self, now: ids::UnixMillis) -> bool {
+        self.subscribed.is_some_and(|since| now.since(since.max(self.heard)) > REPLACE_MS)
+    }
+}
+
+/// Agents whose subscription has changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SubscriptionChange {
+    /// Agents that are to report from now on.
+    pub added: Vec<net::SocketAddrV4>,
+    /// Agents that need no longer report.
+    pub dropped: Vec<net::SocketAddrV4>,
 }
 
 /// One agent and what its choice is based on.
@@ -101,6 +159,10 @@
     evacuated: collections::BTreeSet<u32>,
     policy: policy::StreamPolicy,
     started: ids::UnixMillis,
+    /// This balancer's address.
+    own: Option<net::SocketAddrV4>,
+    /// When subscriptions were last drawn; `None` if members have changed since.
+    drawn: Option<ids::UnixMillis>,
     /// Since when this balancer has heard most agents without a break.
     in_contact: ids::UnixMillis,
 }
@@ -113,6 +175,7 @@
             regions: config.regions.clone(),
             policy: config.policy,
             started: now,
+            own: Some(config.address),
             ..AgentBoard::default()
         }
     }
@@ -124,7 +187,11 @@
         report: &message::AgentReport,
         now: ids::UnixMillis,
     ) -> bool {
-        let known = self.agents.entry(from).or_insert_with(|| unheard(now));
+        let drawn = &mut self.drawn;
+        let known = self.agents.entry(from).or_insert_with(|| {
+            *drawn = None;
+            unheard(now)
+        });
         let is_late = known.report.as_ref().is_some_and(|held| {
             held.agent == report.agent && held.load.sequence > report.load.sequence
         });
@@ -135,8 +202,19 @@
             .report
             .as_ref()
             .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
-        let is_news = !is_same || !known.is_heard;
-        *known = KnownAgent { report: Some(report.clone()), is_heard: true, ..unheard(now) };
+        let is_news = known.is_subscribed() && (!is_same || !known.is_heard);
+        if known.service != Some(report.service) || known.data_centre != Some(report.data_centre) {
+            self.drawn = None;
+        }
+        *known = KnownAgent {
+            report: Some(report.clone()),
+            service: Some(report.service),
+            data_centre: Some(report.data_centre),
+            is_heard: true,
+            subscribed: known.subscribed,
+            requested: known.requested,
+            ..unheard(now)
+        };
         is_news
     }
 
@@ -176,9 +254,63 @@
         self.evacuated = evacuations.hashes().collect();
     }
 
-    /// Notes an agent's address that another balancer told.
-    pub fn note_address(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
-        self.agents.entry(agent).or_insert_with(|| unheard(now));
+    /// Inserts an agent that is announced on the platform or that another balancer mentions.
+    pub fn insert(
+        &mut self,
+        agent: net::SocketAddrV4,
+        service: ids::ServiceId,
+        data_centre: Option<u32>,
+        now: ids::UnixMillis,
+    ) {
+        let known = self.agents.entry(agent).or_insert_with(|| unheard(now));
+        if known.service.is_none() || known.data_centre.is_none() {
+            known.service = known.service.or(Some(service));
+            known.data_centre = known.data_centre.or(data_centre);
+            self.drawn = None;
+        }
+    }
+
+    /// Draws the agents to subscribe to anew where that is due: of each service so many near and far
+    /// ones, first those that report.
+    pub fn renew_subscriptions(
+        &mut self,
+        near_balancers: usize,
+        now: ids::UnixMillis,
+    ) -> SubscriptionChange {
+        let is_due = self.drawn.is_none_or(|drawn| now.since(drawn) >= DRAW_INTERVAL_MS);
+        let Some(own) = self.own.filter(|_| is_due) else { return SubscriptionChange::default() };
+        self.drawn = Some(now);
+        let chosen = self.draw_subscriptions(own, near_balancers, now);
+        let mut change = SubscriptionChange::default();
+        for (address, known) in &mut self.agents {
+            match (chosen.contains(address), known.subscribed) {
+                (true, None) => {
+                    known.subscribed = Some(now);
+                    change.added.push(*address);
+                }
+                (false, Some(_)) => {
+                    known.subscribed = None;
+                    change.dropped.push(*address);
+                }
+                _ => {}
+            }
+        }
+        change
+    }
+
+    /// Agents outside the subscriptions that nobody has mentioned for long, to be asked whether they
+    /// still run.
+    pub fn take_due_requests(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        let mut due = Vec::new();
+        for (address, known) in &mut self.agents {
+            let is_unseen = now.since(known.last_seen()) >= MENTION_TIMEOUT_MS;
+            let is_due = now.since(known.requested) >= REQUEST_INTERVAL_MS;
+            if !known.is_subscribed() && is_unseen && is_due {
+                known.requested = now;
+                due.push(*address);
+            }
+        }
+        due
     }
 
     /// Notes that another balancer hears an agent.
@@ -196,7 +328,9 @@
         }
         let mut due = Vec::new();
         let unheard = self.agents.iter_mut().filter(|(_, known)| {
-            known.report.is_none() && known.machine.is_look_due(known.heard, now)
+            let since = known.subscribed.map(|since| since.max(known.heard));
+            let is_due = since.is_some_and(|since| known.machine.is_look_due(since, now));
+            known.report.is_none() && is_due
         });
         for (agent, known) in unheard.take(LOOKS_AT_ONCE) {
             known.machine.note_look(now);
@@ -214,7 +348,11 @@
 
     /// Forgets agents unheard for long; gives back those that have just stopped being heard.
     pub fn sweep(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
-        self.agents.retain(|_, known| now.since(known.heard) <= KEPT_MS);
+        let before = self.agents.len();
+        self.agents.retain(|_, known| now.since(known.last_seen()) <= KEPT_MS);
+        if self.agents.len() != before {
+            self.drawn = None;
+        }
         if !self.hears_most() {
             self.lose_contact(now);
         }
@@ -222,9 +360,14 @@
         let (data_centre, reports) = (self.data_centre, self.policy.reports);
         for (address, known) in &mut self.agents {
             let heard_ms = reports.heard_ms(known.is_in(data_centre));
-            if known.is_heard && now.since(known.heard) > heard_ms {
-                known.is_heard = false;
-                silent.push(*address);
+            if !known.is_heard || now.since(known.heard) <= heard_ms {
+                continue;
+            }
+            known.is_heard = false;
+            match known.is_subscribed() {
+                true => silent.push(*address),
+                // What it reported once says nothing of what it is now.
+                false => known.report = None,
             }
         }
         silent
@@ -242,6 +385,12 @@
 }
 
 impl AgentBoard {
+    /// The agents that this balancer subscribes to.
+    pub fn subscribed(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        let subscribed = self.agents.iter().filter(|(_, known)| known.is_subscribed());
+        subscribed.map(|(address, _)| *address)
+    }
+
     /// Every agent that may be there.
     pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddrV4> {
         self.agents.keys().copied()
@@ -252,15 +401,26 @@
         self.agents.iter().filter(|(_, known)| known.is_heard).map(|(address, _)| *address)
     }
 
+    /// Agents that report, as other balancers are told of them.
+    pub fn heard_members(&self) -> impl Iterator<Item = stream::AnnouncedMember> {
+        let heard = self.agents.iter().filter(|(_, known)| known.is_heard);
+        heard.map(|(address, known)| stream::AnnouncedMember {
+            address: *address,
+            service: Some(known.service.unwrap_or_default()),
+            data_centre: known.data_centre,
+        })
+    }
+
     /// The data centres of which any agent is heard.
     pub fn heard_centres(&self) -> impl Iterator<Item = u32> {
         let heard = self.agents.values().filter(|known| known.is_heard);
         heard.filter_map(|known| known.report.as_ref().map(|report| report.data_centre))
     }
 
-    /// How many agents that were heard once are in a data centre.
+    /// How many agents that have reported are in a data centre.
     pub fn agents_in(&self, data_centre: u32) -> usize {
-        self.agents.values().filter(|known| known.is_in(data_centre)).count()
+        let reported = self.agents.values().filter(|known| known.report.is_some());
+        reported.filter(|known| known.is_in(data_centre)).count()
     }
 
     /// The data centres whose agents were heard once and have all been silent for so long, while this
@@ -289,13 +449,14 @@
     ) -> PossibleHolders {
         let mut holders = PossibleHolders::default();
         for (address, known) in &self.agents {
-            match &known.report {
+            let phase = known.report.as_ref().map(|report| report.phase);
+            let is_of_another = |service| known.service.is_some_and(|of| of != service);
+            let is_in_lost = known.data_centre.is_some_and(|centre| lost_centres.contains(&centre));
+            match phase {
                 // Its backend server's run has ended, and every stream with it.
-                Some(report) if report.phase == host::HostPhase::Gone => {}
-                Some(report) if service.is_some_and(|service| report.service != service) => {}
-                Some(report) if lost_centres.contains(&report.data_centre) => {
-                    holders.has_lost = true;
-                }
+                Some(host::HostPhase::Gone) => {}
+                _ if service.is_some_and(is_of_another) => {}
+                _ if is_in_lost => holders.has_lost = true,
                 None if self.is_taken_as_lost(known, now) => holders.has_lost = true,
                 // One of which nothing is known may be of the service.
                 _ => holders.agents.push(*address),
@@ -311,8 +472,12 @@
     /// as not there only where most backend servers have begun together with this balancer, after a loss
     /// of power.
     fn is_taken_as_lost(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
-        let unheard_ms = now.since(known.heard.max(self.in_contact));
-        let is_overdue = unheard_ms > u64::from(self.policy.recovery.lost_ms);
+        let lost_ms = u64::from(self.policy.recovery.lost_ms);
+        let (since, limit_ms) = match known.subscribed {
+            Some(subscribed) => (known.heard.max(subscribed), lost_ms),
+            None => (known.last_seen(), MENTION_TIMEOUT_MS + lost_ms),
+        };
+        let is_overdue = now.since(since.max(self.in_contact)) > limit_ms;
         is_overdue || (known.machine.is_gone(now) && self.is_after_power_loss(now))
     }
 
@@ -324,12 +489,43 @@
             let age_ms = age_ms.map(|age_ms| u64::from(age_ms) + now.since(known.heard));
             known.is_heard && age_ms.is_some_and(|age_ms| age_ms <= own_age_ms + TOGETHER_MS)
         };
-        2 * self.agents.values().filter(began_with_it).count() >= self.agents.len()
+        let subscribed = || self.agents.values().filter(|known| known.is_subscribed());
+        2 * subscribed().filter(began_with_it).count() >= subscribed().count()
     }
 
     fn hears_most(&self) -> bool {
-        let heard = self.agents.values().filter(|known| known.is_heard).count();
-        2 * heard >= self.agents.len()
+        let subscribed = || self.agents.values().filter(|known| known.is_subscribed());
+        2 * subscribed().filter(|known| known.is_heard).count() >= subscribed().count()
+    }
+
+    fn draw_subscriptions(
+        &self,
+        own: net::SocketAddrV4,
+        near_balancers: usize,
+        now: ids::UnixMillis,
+    ) -> collections::BTreeSet<net::SocketAddrV4> {
+        let mut groups = collections::BTreeMap::<_, Vec<net::SocketAddrV4>>::new();
+        for (address, known) in &self.agents {
+            groups.entry((known.service, self.is_near(known))).or_default().push(*address);
+        }
+        let mut chosen = collections::BTreeSet::new();
+        for ((_, is_near), mut members) in groups {
+            let shared = LEAST_SUBSCRIBERS * members.len() / near_balancers.max(1);
+            let limit = if is_near { shared.max(NEAR_AGENTS) } else { FAR_AGENTS };
+            subset::sort_drawn(own, &mut members);
+            // Unresponsive ones stay subscribed, as they may come back, and do not count.
+            let mut responsive = 0;
+            for member in members.into_iter().take(2 * limit) {
+                if responsive == limit {
+                    break;
+                }
+                let is_unresponsive =
+                    self.agents.get(&member).is_some_and(|known| known.is_unresponsive(now));
+                responsive += usize::from(!is_unresponsive);
+                chosen.insert(member);
+            }
+        }
+        chosen
     }
 
     /// What is known of one agent.
@@ -416,6 +612,10 @@
 fn unheard(now: ids::UnixMillis) -> KnownAgent {
     KnownAgent {
         report: None,
+        service: None,
+        data_centre: None,
+        subscribed: None,
+        requested: ids::UnixMillis(0),
         heard: now,
         is_heard: false,
         sent_since: 0,
--- a/crates/core/src/stream/machine.rs
+++ b/crates/core/src/stream/machine.rs
@@ -50,6 +50,11 @@
 }
 
 impl MachineDoubt {
+    /// When another balancer last said that it hears the agent.
+    pub fn told(&self) -> ids::UnixMillis {
+        self.told
+    }
+
     /// Whether the machine is to be looked at, of an agent that has not been heard since `known_since`.
     pub fn is_look_due(&self, known_since: ids::UnixMillis, now: ids::UnixMillis) -> bool {
         let is_unheard = now.since(known_since) >= UNHEARD_MS;
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -1,13 +1,12 @@
 //! What balancers and agents tell each other, a datagram each.
 
-use std::net;
-
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ids;
 use crate::load;
 use crate::store_epoch;
+use crate::stream;
 use crate::stream::evacuation;
 use crate::stream::host;
 use crate::stream::segment;
@@ -127,17 +126,25 @@
     pub evacuations: evacuation::EvacuationState,
     /// The latest epoch of the platform's store that it knows of.
     pub store_epoch: store_epoch::StoreEpoch,
+    /// Whether the agent that receives this is to report its load from now on.
+    ///
+    /// Otherwise whoever receives it answers with one report, which shows that it still runs.
+    pub wants_reports: bool,
 }
 
-/// Whom a balancer has heard lately, told to one other balancer at a time.
+/// Members that a balancer has received reports from lately, or a part of them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeardMembers {
-    /// Where other balancers take messages.
-    pub balancers: Vec<net::SocketAddrV4>,
-    /// Where agents take messages.
-    pub agents: Vec<net::SocketAddrV4>,
+    /// At most [`MEMBERS_PER_MESSAGE`] balancers and agents.
+    pub members: Vec<stream::AnnouncedMember>,
 }
 
+/// The longest message between processes, in bytes: what a receiver reads of a datagram.
+pub const LONGEST_MESSAGE: usize = 4_096;
+
+/// How many members one message names, so that it is shorter than [`LONGEST_MESSAGE`].
+pub const MEMBERS_PER_MESSAGE: usize = 128;
+
 /// A message between a balancer and an agent, or between balancers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StreamMessage {
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -22,6 +22,7 @@
 //! | [`pause`] | what a process does after it has stood still |
 //! | [`policy`] | the figures that decisions go by |
 //! | [`waiting`] | openings that wait at an agent for a free slot |
+//! | [`subset`] | which members of a fleet one process exchanges reports with |
 //! | [`sent`] | whether a caller repeats what it sent last on a stream |
 //! | [`slow_start`] | how many streams a backend server takes while it is slow after its start |
 //! | [`trust`] | whether a backend server fails part of its requests |
@@ -48,6 +49,7 @@
 pub mod segment;
 pub mod sent;
 pub mod slow_start;
+pub mod subset;
 pub mod trust;
 pub mod waiting;
 
@@ -117,6 +119,9 @@
     /// It must be said: another writer's entry without it would be taken for a balancer.
     #[serde(deserialize_with = "said_service")]
     pub service: Option<ids::ServiceId>,
+    /// Its data centre, as a hash of its name; `None` in announcements that lack it.
+    #[serde(default)]
+    pub data_centre: Option<u32>,
 }
 
 fn said_service<'de, D: serde::Deserializer<'de>>(
--- /dev/null
+++ b/crates/core/tests/stream_fleet.rs
@@ -0,0 +1,135 @@
+//! What a process sends and receives as its fleet grows from 30 to 300 processes.
+
+mod stream_world;
+
+use std::collections;
+
+use rosemaryusher_core::ids;
+
+use stream_world as world;
+
+/// How long messages are counted, in seconds.
+const SECONDS: u64 = 4;
+
+/// The greatest power by which a figure of one process may grow with the fleet.
+const LEAST_GROWTH: f64 = 0.3;
+
+/// A calm fleet in two data centres.
+fn fleet(balancers: u8, agents: u8) -> world::StreamWorld {
+    let mut world = world::StreamWorld::new();
+    world.far.extend((1..=balancers).filter(|nth| nth % 2 == 0).map(world::balancer_address));
+    world.far.extend((1..=agents).filter(|nth| nth % 2 == 0).map(world::agent_address));
+    world.set_config(world::config(1, &[("wallet", &[0, 1]), ("preview", &[5])]));
+    for nth in 1..=agents {
+        world.start_host(nth, "wallet", 4);
+        world.start_agent(nth, "wallet");
+    }
+    for nth in 1..=balancers {
+        world.start_balancer(nth);
+    }
+    world.advance(4_000);
+    world
+}
+
+/// Messages that the busiest balancer and the busiest agent receive in a second, and those that all
+/// processes send.
+fn rates(world: &mut world::StreamWorld) -> (f64, f64, f64) {
+    world.told.clear();
+    world.advance(1_000 * SECONDS);
+    let mut received = collections::BTreeMap::<_, u64>::new();
+    for ((process, _), count) in &world.told {
+        *received.entry(*process).or_default() += count;
+    }
+    let busiest = |is_balancer: bool| {
+        let of_role =
+            received.iter().filter(|(to, _)| world.balancers.contains_key(to) == is_balancer);
+        of_role.map(|(_, count)| *count).max().unwrap_or_default()
+    };
+    let a_second = |count: u64| count as f64 / SECONDS as f64;
+    (a_second(busiest(true)), a_second(busiest(false)), a_second(received.values().sum()))
+}
+
+fn growth(small: f64, large: f64, size: f64) -> f64 {
+    (large / small).ln() / size.ln()
+}
+
+/// Reports of every agent to every balancer, and of every balancer to all: at ten times the size each
+/// process would receive ten times as many.
+#[test]
+fn messages_bounded() {
+    let small = rates(&mut fleet(9, 21));
+    let large = rates(&mut fleet(90, 210));
+    let (balancer, agent) = (growth(small.0, large.0, 10.0), growth(small.1, large.1, 10.0));
+    assert!(balancer < LEAST_GROWTH, "a balancer: {small:?} {large:?}");
+    assert!(agent < LEAST_GROWTH, "an agent: {small:?} {large:?}");
+    let all = growth(small.2, large.2, 10.0);
+    assert!(all < 1.0 + LEAST_GROWTH, "all: {small:?} {large:?}");
+}
+
+/// A configuration that each process that accepts it announces to all others: the square of the fleet in
+/// messages within a second.
+#[test]
+fn change_bounded() {
+    let cost = |balancers: u8, agents: u8| {
+        let mut world = fleet(balancers, agents);
+        let (_, _, calm) = rates(&mut world);
+        world.set_config(world::config(2, &[("wallet", &[0, 1, 2]), ("preview", &[5])]));
+        world.told.clear();
+        world.advance(1_000);
+        let balancers = world.balancers.values().map(|balancer| balancer.state().generation());
+        let agents = world.agents.values().map(|agent| agent.state().generation());
+        assert!(balancers.chain(agents).all(|at| at == ids::ConfigGeneration(2)));
+        (world.told.values().sum::<u64>() as f64 - calm).max(1.0)
+    };
+    let (small, large) = (cost(9, 21), cost(90, 210));
+    let growth = growth(small, large, 10.0);
+    assert!(growth < 1.0 + LEAST_GROWTH, "{small} {large}");
+}
+
+/// A balancer that subscribes to a part of the agents takes one outside it, alive and unmentioned, for
+/// lost: a search that leaves it out would reset its streams.
+#[test]
+fn unsubscribed_agents_known() {
+    let mut world = fleet(90, 210);
+    world.advance(40_000);
+    for balancer in world.balancers.values() {
+        let known = balancer.board().addresses().count();
+        assert_eq!(known, 210);
+        let service = ids::ServiceId::of_name("wallet");
+        let holders =
+            balancer.board().holders(Some(service), &collections::BTreeSet::new(), world.now);
+        assert_eq!((holders.agents.len(), holders.has_lost), (210, false));
+    }
+}
+
+/// An agent that no balancer subscribes to gets no streams, and hears of no change.
+#[test]
+fn each_agent_subscribed() {
+    for (balancers, agents) in [(90, 210), (4, 240)] {
+        let world = fleet(balancers, agents);
+        for (address, agent) in &world.agents {
+            assert!(agent.hears_balancer(), "{address} with {balancers} balancers");
+        }
+    }
+}
+
+/// The stream of a balancer that died goes on through one that does not subscribe to its agent: the agent
+/// must be found and nothing be reset.
+#[test]
+fn found_outside_subset() {
+    let mut world = fleet(90, 210);
+    for caller in 0..20 {
+        let key = world::key(caller, 0);
+        world.entry_balancer = world::balancer_address(1 + 2 * (caller as u8 % 40));
+        world.open(key, 0);
+        world.advance(20);
+        let holders = world.holders(key);
+        assert_eq!(holders.len(), 1);
+        world.entry_balancer = world::balancer_address(2 + 2 * (caller as u8 % 40));
+        world.send(key);
+        world.advance(100);
+        assert_eq!(world.view(key).resets, 0);
+        let found = world.placed(key);
+        assert_eq!(world.holders(key), vec![found]);
+    }
+}
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -305,6 +305,7 @@
             .map(|(address, service)| stream::AnnouncedMember {
                 address: *address,
                 service: *service,
+                data_centre: Some(ids::hash_centre(self.centre_of(*address))),
             })
             .collect();
         self.handle(address, stream::StreamEvent::Members(members));
--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -3,6 +3,7 @@
 use std::rc;
 use std::sync::atomic;
 
+use rosemaryusher_core::ids;
 use rosemaryusher_core::store_epoch;
 use rosemaryusher_core::stream;
 
@@ -125,7 +126,7 @@
     condition: platform::WriteCondition,
 ) -> Result<(), platform::StoreError> {
     let store = hub.link.borrow().store.clone();
-    let own = stream::AnnouncedMember { address: hub.own, service: hub.service };
+    let own = own_announcement(hub);
     let value = serde_json::to_string(&own).map_err(|_| platform::StoreError::Unavailable)?;
     match store.put(&announcement_key(hub), value, condition).await {
         Ok(version) => hub.announced.set(Some(version)),
@@ -137,8 +138,12 @@
 
 /// Whether an announcement says of this process what it would say itself.
 fn is_own(hub: &hub::StreamHub, object: &platform::StoredObject) -> bool {
-    let own = stream::AnnouncedMember { address: hub.own, service: hub.service };
-    read_member(object).is_some_and(|member| member == own)
+    read_member(object).is_some_and(|member| member == own_announcement(hub))
+}
+
+fn own_announcement(hub: &hub::StreamHub) -> stream::AnnouncedMember {
+    let data_centre = Some(ids::hash_centre(&hub.settings.borrow().data_centre));
+    stream::AnnouncedMember { address: hub.own, service: hub.service, data_centre }
 }
 
 fn read_member(object: &platform::StoredObject) -> Option<stream::AnnouncedMember> {
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -36,9 +36,6 @@
 /// How many datagrams one socket gives in a row, so that none starves the others.
 const BATCH: usize = 64;
 
-/// The longest datagram: a segment of 1.2 KB in a message, with room.
-const LONGEST_DATAGRAM: usize = 4_096;
-
 /// What the control thread tells this one.
 #[derive(Debug)]
 pub(crate) enum StreamInput {
@@ -105,7 +102,7 @@
 impl PacketThread {
     /// Runs until the control thread is gone.
     pub(crate) async fn run(mut self) {
-        let mut buffer = vec![0; LONGEST_DATAGRAM];
+        let mut buffer = vec![0; message::LONGEST_MESSAGE];
         let mut actions = Vec::new();
         let mut ticked = ids::UnixMillis(0);
         loop {
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -8,7 +8,7 @@
 /// The version of the packets that this build sends and understands.
 ///
 /// A packet of another version is dropped and counted rather than guessed at.
-pub const PACKET_VERSION: u8 = 4;
+pub const PACKET_VERSION: u8 = 5;
 
 /// The longest packet, in bytes: what a UDP datagram over IPv4 carries.
 pub const LONGEST_PACKET: usize = 65_507;
--- a/crates/wire/tests/foreign_messages.rs
+++ b/crates/wire/tests/foreign_messages.rs
@@ -6,6 +6,7 @@
 use rosemaryusher_core::config;
 use rosemaryusher_core::ids;
 use rosemaryusher_core::load;
+use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::host;
 use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::segment;
@@ -53,8 +54,14 @@
             generation,
         }),
         message::StreamMessage::Heard(message::HeardMembers {
-            balancers: vec![address],
-            agents: vec![address; 3],
+            members: vec![
+                stream::AnnouncedMember { address, service: None, data_centre: Some(1) },
+                stream::AnnouncedMember {
+                    address,
+                    service: Some(ids::ServiceId(9)),
+                    data_centre: None,
+                },
+            ],
         }),
     ]
 }
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -87,7 +87,7 @@
 stream-probes-counted	crates/core/src/stream/agent/admission.rs	s/message::CarryKind::Probe => \{/message::CarryKind::OpenQueued => {/	-p rosemaryusher-core --test stream_search search_is_no_work
 stream-lost-waited-for	crates/core/src/stream/policy.rs	s/lost_ms: 2_000/lost_ms: 60_000/	-p rosemaryusher-core --test stream_search lost_machine
 stream-out-of-contact	crates/core/src/stream/board.rs	s/if !self\.hears_most\(\) \{(\s+)self\.lose_contact/if false {$1self.lose_contact/	-p rosemaryusher-core --test stream_search reached_again
-stream-gone-asked	crates/core/src/stream/board.rs	s/Some\(report\) if report\.phase == host::HostPhase::Gone => \{\}//	-p rosemaryusher-core --test stream_search one_has_left
+stream-gone-asked	crates/core/src/stream/board.rs	s/Some\(host::HostPhase::Gone\) => \{\}//	-p rosemaryusher-core --test stream_search one_has_left
 stream-host-not-doubted	crates/core/src/stream/agent/hosting.rs	s/actions\.push\(stream::StreamAction::ProbeHost\);//	-p rosemaryusher-core --test host_vanished killed_midway
 stream-vanished-for-good	crates/core/src/stream/host.rs	s/match std::mem::take\(&mut self\.has_vanished\) \{/match self.has_vanished {/	-p rosemaryusher-core --test host_vanished back_again
 stream-vanished-proves	crates/core/src/stream/agent/hosting.rs	s/host::ReportOutcome::Returned => self\.has_seen_all = false,/host::ReportOutcome::Returned => {}/	-p rosemaryusher-core --test host_vanished back_with_streams
@@ -132,12 +132,17 @@
 home-not-kept	crates/core/src/stream/board.rs	s/\(\) if !needs\.regions\.is_empty\(\) && !is_allowed\(\) => Some\(PlaceExclusion::OtherRegion\),/() if !needs.regions.is_empty() \&\& !is_allowed() => None,/	-p rosemaryusher-core --test homes_kept home_alone
 home-taken-anyway	crates/core/src/stream/agent/admission.rs	s/_ if !self\.is_allowed_here\(key\) => /_ if false \&\& !self.is_allowed_here(key) => /	-p rosemaryusher-core --test homes_kept agent_turns_away
 zone-lost-untold	crates/core/src/stream/balancer/routing.rs	s/Some\(\(agent, true, _\)\) if self\.is_lost\(agent\) => \{/Some((agent, true, _)) if false \&\& self.is_lost(agent) => {/	-p rosemaryusher-core --test zone_lost callers_told
-zone-lost-waited-for	crates/core/src/stream/board.rs	s/Some\(report\) if lost_centres\.contains\(&report\.data_centre\) => \{/Some(report) if false \&\& lost_centres.contains(\&report.data_centre) => {/	-p rosemaryusher-core --test zone_lost moved_callers_told
+zone-lost-waited-for	crates/core/src/stream/board.rs	s/_ if is_in_lost => holders\.has_lost = true,/_ if false \&\& is_in_lost => holders.has_lost = true,/	-p rosemaryusher-core --test zone_lost moved_callers_told
 zone-heard-by-others-ignored	crates/core/src/stream/balancer/centres.rs	s/Some\(\*centre\) != peer\.data_centre && !peer\.hears\.contains\(centre\)/Some(*centre) != peer.data_centre || !peer.hears.contains(centre)/	-p rosemaryusher-core --test zone_lost heard_by_another
 zone-lost-too-soon	crates/core/src/stream/balancer/centres.rs	s/const LOST_MS: u64 = 1_500/const LOST_MS: u64 = 1_000/	-p rosemaryusher-core --test zone_lost agents_restarted
 machine-gone-waited-for	crates/core/src/stream/board.rs	s/is_overdue \|\| \(known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)\)/is_overdue/	-p rosemaryusher-core --test stream_search machine_without_power
 machine-cut-taken-for-gone	crates/core/src/stream/board.rs	s/known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)/known.machine.is_gone(now)/	-p rosemaryusher-core --test stream_moves agent_unheard
 machine-start-unseen	crates/core/src/stream/agent/neighbours.rs	s/told\.map_or\(seen, \|told\| told\.min\(seen\)\)/told.map_or(seen, |_| seen)/	-p rosemaryusher-core --test stream_search starts_not_seen
+member-forgotten	crates/core/src/stream/board.rs	s/now\.since\(known\.last_seen\(\)\) <= KEPT_MS/now.since(known.heard) <= KEPT_MS/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
+unsubscribed-taken-as-lost	crates/core/src/stream/board.rs	s/None => \(known\.last_seen\(\), MENTION_TIMEOUT_MS \+ lost_ms\)/None => (known.heard, lost_ms)/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
+all-subscribed	crates/core/src/stream/board.rs	s/\.take\(2 \* limit\)//;s/responsive == limit/responsive == usize::MAX/	-p rosemaryusher-core --test stream_fleet messages_bounded
+all-neighbours	crates/core/src/stream/balancer/neighbours.rs	s/subset::neighbours\(self\.config\.address, peers, SUCCESSORS, DRAWN_PEERS\)/peers.collect()/	-p rosemaryusher-core --test stream_fleet messages_bounded
+members-in-one	crates/core/src/stream/balancer/neighbours.rs	s/members\.chunks\(message::MEMBERS_PER_MESSAGE\)/members.chunks(usize::MAX)/	-p rosemaryusher-wire --test member_parts arrives_whole
 TABLE
 }
 
