--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -40,20 +40,20 @@
             false if carry.service != self.config.service => {
                 let reason = message::ReturnReason::OtherService;
                 let message = self.returned(reason, segment.bytes, now);
-                actions.push(stream::StreamAction::Tell(from, message));
+                actions.push(stream::StreamAction::Send(from, message));
             }
             // Nothing there could give it back, and its balancer would go on sending here while
             // another backend server holds the stream.
             false if self.phase(now) == host::HostPhase::Gone => {
                 let message = self.returned(message::ReturnReason::NotHeld, segment.bytes, now);
-                actions.push(stream::StreamAction::Tell(from, message));
+                actions.push(stream::StreamAction::Send(from, message));
             }
             // The caller has taken another backend server's answer to a copy of its opening. Handed
             // over, the segment would be lost, and this half would count as work.
             false if self.is_other_half(key, segment.head.acknowledged) => {
                 self.held.remove(key);
                 let message = self.returned(message::ReturnReason::NotHeld, segment.bytes, now);
-                actions.push(stream::StreamAction::Tell(from, message));
+                actions.push(stream::StreamAction::Send(from, message));
             }
             false => {
                 match carry.kind {
@@ -62,7 +62,7 @@
                     }
                     _ => self.held.hear_caller(key, &segment.head, from, now),
                 }
-                actions.push(stream::StreamAction::HandOver(marks, segment.bytes.to_vec()));
+                actions.push(stream::StreamAction::Deliver(marks, segment.bytes.to_vec()));
             }
         }
     }
@@ -129,7 +129,7 @@
         let marks = segment::SegmentMarks { origin: *balancer.ip() };
         self.held.open(key, balancer, bytes, now);
         self.slow_start.note_handed(now);
-        actions.push(stream::StreamAction::HandOver(marks, bytes.to_vec()));
+        actions.push(stream::StreamAction::Deliver(marks, bytes.to_vec()));
     }
 
     fn give_back(
@@ -154,7 +154,7 @@
     ) {
         let note = note::StreamNote::returned(key, self.config.address, reason);
         actions.push(stream::StreamAction::Note(note));
-        actions.push(stream::StreamAction::Tell(balancer, self.returned(reason, bytes, now)));
+        actions.push(stream::StreamAction::Send(balancer, self.returned(reason, bytes, now)));
     }
 
     /// How fast what waits here is handed over, and who may wait.
--- a/crates/core/src/stream/agent/hosting.rs
+++ b/crates/core/src/stream/agent/hosting.rs
@@ -20,16 +20,16 @@
 const RESTART_MS: u64 = 100;
 
 impl agent::StreamAgent {
-    pub(super) fn hear_host(
+    pub(super) fn on_host_report(
         &mut self,
         report: &report::HostReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let is_first_heard = self.host.run().is_none();
-        let outcome = self.host.hear(report, self.config.host_report_ms, now);
+        let outcome = self.host.on_report(report, self.config.host_report_ms, now);
         if outcome != host::ReportOutcome::Stale {
-            self.slow_start.hear(report.slow_ms, now);
+            self.slow_start.on_report(report.slow_ms, now);
         }
         let mut reset = 0;
         match outcome {
@@ -75,9 +75,8 @@
     /// Whether this is the first report of a run, so that no former run of this agent has handed it
     /// anything: openings are handed over only once a run has reported.
     ///
-    /// After a loss of power every stream of every host is dead and is asked for. Agents that could
-    /// not tell had each such segment sent to their hosts: 27 of 64 MB between processes in the four
-    /// seconds after it (17 balancers, 48 hosts, counted by kind in one replayed day).
+    /// After a loss of power every stream of every host is dead and is searched for. Of agents that cannot
+    /// deny a stream, the backend servers get each of its segments to try.
     fn has_just_begun(&self, report: &report::HostReport) -> bool {
         let began_with_agent = |born: ids::UnixMillis| born.plus(RESTART_MS) >= self.started;
         report.sequence <= FIRST_SEQUENCE && report.run.born.is_none_or(began_with_agent)
@@ -108,7 +107,7 @@
 
     /// Takes in that nothing listens at the backend server's address.
     ///
-    /// A crash leaves no word: callers would send into nothing until their deadline, and a balancer
+    /// A crash sends nothing: callers would send into nothing until their deadline, and a balancer
     /// that looks for a stream would wait for a machine that is then taken away.
     pub(super) fn host_vanished(
         &mut self,
@@ -140,7 +139,7 @@
     /// to, has left an opening unanswered, or is said to have left.
     ///
     /// An agent may start beside nothing, on a machine that is about to be taken away. Until it
-    /// said so, every search for a stream of the service would have waited for its word.
+    /// said so, every search for a stream of the service would have waited for its answer.
     pub(super) fn doubt_host(
         &mut self,
         now: ids::UnixMillis,
@@ -190,7 +189,7 @@
         let is_searched = self.held.remove(key).is_some_and(|stream| stream.is_searched);
         if is_searched && reason == message::ReturnReason::NotHeld {
             let message = message::StreamMessage::Absent { key, is_sure: true };
-            return actions.push(stream::StreamAction::Tell(balancer, message));
+            return actions.push(stream::StreamAction::Send(balancer, message));
         }
         let message = self.returned(reason, segment.bytes, now);
         actions.push(stream::StreamAction::Note(note::StreamNote::returned(
@@ -198,7 +197,7 @@
             self.config.address,
             reason,
         )));
-        actions.push(stream::StreamAction::Tell(balancer, message));
+        actions.push(stream::StreamAction::Send(balancer, message));
     }
 
     /// Sends a segment of the backend server straight to its caller.
@@ -210,7 +209,7 @@
     ) {
         let key = segment.head.key_from_host();
         self.silent_until = ids::UnixMillis(0);
-        let news = self.held.hear_host(key, &segment.head, now);
+        let news = self.held.on_host_segment(key, &segment.head, now);
         if let Some(answered_ms) = news.answered_ms {
             self.pace_ms.note(answered_ms as f64);
             self.trust.note(false);
@@ -235,7 +234,7 @@
                     first_sequence: stream.first_sequence,
                     load: self.load(now),
                 };
-                actions.push(stream::StreamAction::Tell(stream.balancer, message));
+                actions.push(stream::StreamAction::Send(stream.balancer, message));
             }
         }
         actions.push(stream::StreamAction::Answer(*key.caller.ip(), segment.bytes.to_vec()));
@@ -261,7 +260,7 @@
                 waited_ms,
             }));
             let message = self.returned(message::ReturnReason::Silent, &stream.opening, now);
-            actions.push(stream::StreamAction::Tell(stream.balancer, message));
+            actions.push(stream::StreamAction::Send(stream.balancer, message));
         }
     }
 }
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -32,12 +32,12 @@
 use crate::stream::trust;
 use crate::stream::waiting;
 
-/// How long a balancer that is not heard still gets reports, in milliseconds.
+/// How long a balancer that sends no reports still gets them, in milliseconds.
 const BALANCER_KEPT_MS: u64 = 30_000;
 
-/// A balancer counts as heard for so long after its last report, in milliseconds: in a large fleet
-/// each reports once a second.
-const BALANCER_HEARD_MS: u64 = 3_500;
+/// How long a balancer counts as reachable after its last report, in milliseconds: three reports of
+/// one in a large fleet, and some.
+const BALANCER_TIMEOUT_MS: u64 = 3_500;
 
 /// A balancer that leaves still gets reports for so long after its last one, in milliseconds: the
 /// network goes on sending to it for a second.
@@ -45,12 +45,12 @@
 
 #[derive(Clone, Copy, Debug)]
 struct KnownBalancer {
-    heard: ids::UnixMillis,
-    /// Its data centre, once it has been heard.
+    last_report: ids::UnixMillis,
+    /// Its data centre, once it has reported.
     data_centre: Option<u32>,
-    /// When it was last told of the work in progress.
-    told: ids::UnixMillis,
-    is_heard: bool,
+    /// When it was last sent a report.
+    last_sent: ids::UnixMillis,
+    is_reachable: bool,
     /// Whether it has asked for reports; before that, this agent only introduces itself.
     is_subscriber: bool,
     /// How often this agent has introduced itself.
@@ -59,19 +59,19 @@
 }
 
 impl KnownBalancer {
-    fn unheard(now: ids::UnixMillis) -> KnownBalancer {
+    fn unreported(now: ids::UnixMillis) -> KnownBalancer {
         KnownBalancer {
-            heard: now,
+            last_report: now,
             data_centre: None,
-            told: ids::UnixMillis(0),
-            is_heard: false,
+            last_sent: ids::UnixMillis(0),
+            is_reachable: false,
             is_subscriber: false,
             introductions: 0,
             is_leaving: false,
         }
     }
 
-    /// How long it is told of after its last report.
+    /// How long it gets reports after its own last one, in milliseconds.
     fn kept_ms(&self) -> u64 {
         if self.is_leaving { LEAVING_KEPT_MS } else { BALANCER_KEPT_MS }
     }
@@ -83,7 +83,7 @@
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
     evacuations: evacuation::EvacuationBelief,
-    /// The latest epoch of the platform's store that was told here.
+    /// The latest epoch of the platform's store that is known here.
     store_epoch: store_epoch::StoreEpoch,
     host: host::HostState,
     held: held::HeldStreams,
@@ -150,7 +150,7 @@
             }
             stream::StreamEvent::Segment(segment) => self.pass_out(&segment, now, actions),
             stream::StreamEvent::Message { from, message, head } => {
-                self.hear(from, message, head, now, actions);
+                self.on_message(from, message, head, now, actions);
             }
             stream::StreamEvent::Config(state) => {
                 if state.generation() > self.state.generation() {
@@ -161,18 +161,18 @@
                     self.state = state;
                 }
             }
-            stream::StreamEvent::Seeds(seeds) => self.meet(&seeds, now, actions),
+            stream::StreamEvent::Seeds(seeds) => self.discover(&seeds, now, actions),
             stream::StreamEvent::Members(members) => {
                 let balancers = members.iter().filter(|member| member.service.is_none());
                 let balancers: Vec<_> = balancers.map(|member| member.address).collect();
-                self.meet(&balancers, now, actions);
+                self.discover(&balancers, now, actions);
             }
-            // Agents hear of them by balancers.
+            // Balancers pass them on to agents.
             stream::StreamEvent::Evacuations(_)
-            | stream::StreamEvent::MachineLooked { .. }
+            | stream::StreamEvent::MachineProbed { .. }
             | stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::StoreEpoch(epoch) => self.take_store_epoch(epoch, actions),
-            stream::StreamEvent::HostReport(report) => self.hear_host(&report, now, actions),
+            stream::StreamEvent::HostReport(report) => self.on_host_report(&report, now, actions),
             stream::StreamEvent::HostLeft(run) => self.host_left(&run, now, actions),
             stream::StreamEvent::HostVanished => self.host_vanished(now, actions),
             stream::StreamEvent::Leave => {
@@ -184,7 +184,7 @@
         self.admit_waiting(now, actions);
     }
 
-    fn hear(
+    fn on_message(
         &mut self,
         from: net::SocketAddrV4,
         message: &message::StreamMessage,
@@ -209,10 +209,10 @@
                     },
                     _ => message::StreamMessage::Absent { key: *key, is_sure: self.is_sure(now) },
                 };
-                actions.push(stream::StreamAction::Tell(from, message));
+                actions.push(stream::StreamAction::Send(from, message));
             }
             (message::StreamMessage::Balancer(report), _) => {
-                self.hear_balancer(from, report, now, actions);
+                self.on_balancer_report(from, report, now, actions);
             }
             _ => {}
         }
@@ -234,7 +234,7 @@
 }
 
 impl StreamAgent {
-    /// Whether the backend server takes new streams, as balancers are told.
+    /// Whether the backend server takes new streams, as balancers see it.
     pub fn phase(&self, now: ids::UnixMillis) -> host::HostPhase {
         match self.host.phase(self.config.host_report_ms, now) {
             host::HostPhase::Serving if self.is_leaving => host::HostPhase::Draining,
@@ -272,14 +272,14 @@
         &self.evacuations
     }
 
-    /// The latest epoch of the platform's store that was told here.
+    /// The latest epoch of the platform's store that is known here.
     pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
         self.store_epoch
     }
 
-    /// Whether a balancer has been heard lately.
-    pub fn hears_balancer(&self) -> bool {
-        self.balancers.values().any(|known| known.is_heard)
+    /// Whether a balancer has reported lately.
+    pub fn reaches_balancer(&self) -> bool {
+        self.balancers.values().any(|known| known.is_reachable)
     }
 
     /// Whether the backend server is there, as far as it has not said that it has left.
--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -1,4 +1,4 @@
-//! What an agent hears of balancers, and tells them.
+//! Reports between an agent and the balancers.
 
 use std::net;
 
@@ -10,32 +10,32 @@
 use crate::stream::message;
 use crate::stream::note;
 
-/// For how long balancers are told the age of a backend server that has just begun, in milliseconds:
-/// longer than those that lost power with it take to start and to hear of it.
+/// For how long reports give the age of a backend server that has just begun, in milliseconds:
+/// longer than those that lost power with it take to start and to receive a report.
 const HOST_NEW_MS: u64 = 5_000;
 
 /// How often an agent introduces itself to a balancer that has not asked for its reports: a datagram
-/// may be lost. While no balancer is heard, it goes on.
+/// may be lost. While no balancer is reachable, it goes on.
 const INTRODUCTIONS: u32 = 2;
 
 /// Between two introductions to the same balancer, in milliseconds.
 const INTRODUCTION_MS: u64 = 1_000;
 
 impl agent::StreamAgent {
-    pub(super) fn meet(
+    pub(super) fn discover(
         &mut self,
         balancers: &[net::SocketAddrV4],
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         for balancer in balancers {
-            let unknown = agent::KnownBalancer::unheard(now);
+            let unknown = agent::KnownBalancer::unreported(now);
             self.balancers.entry(*balancer).or_insert(unknown);
         }
         self.report(now, actions);
     }
 
-    pub(super) fn hear_balancer(
+    pub(super) fn on_balancer_report(
         &mut self,
         from: net::SocketAddrV4,
         report: &message::BalancerReport,
@@ -47,7 +47,7 @@
         } else {
             self.balancers.remove(&from);
             let report = self.own_report(now);
-            actions.push(stream::StreamAction::Tell(from, report));
+            actions.push(stream::StreamAction::Send(from, report));
         }
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
@@ -67,20 +67,20 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let unknown = agent::KnownBalancer::unheard(now);
+        let unknown = agent::KnownBalancer::unreported(now);
         let known = self.balancers.entry(from).or_insert(unknown);
         known.is_subscriber = true;
-        known.heard = now;
+        known.last_report = now;
         known.data_centre = Some(report.data_centre);
         // The network sends to a balancer for a while after it has said that it leaves, and until
         // then it needs reports like any other.
         known.is_leaving = report.is_leaving;
-        if !known.is_heard {
-            known.is_heard = true;
-            let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
+        if !known.is_reachable {
+            known.is_reachable = true;
+            let changed = note::StreamNote::BalancerChanged { balancer: from, is_reachable: true };
             actions.push(stream::StreamAction::Note(changed));
             let report = self.own_report(now);
-            actions.push(stream::StreamAction::Tell(from, report));
+            actions.push(stream::StreamAction::Send(from, report));
         }
     }
 
@@ -126,12 +126,12 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        self.balancers.retain(|_, known| now.since(known.heard) <= known.kept_ms());
+        self.balancers.retain(|_, known| now.since(known.last_report) <= known.kept_ms());
         for (balancer, known) in &mut self.balancers {
-            if known.is_heard && now.since(known.heard) > agent::BALANCER_HEARD_MS {
-                known.is_heard = false;
+            if known.is_reachable && now.since(known.last_report) > agent::BALANCER_TIMEOUT_MS {
+                known.is_reachable = false;
                 let balancer = *balancer;
-                let changed = note::StreamNote::BalancerChanged { balancer, is_heard: false };
+                let changed = note::StreamNote::BalancerChanged { balancer, is_reachable: false };
                 actions.push(stream::StreamAction::Note(changed));
             }
         }
@@ -140,7 +140,7 @@
     /// Reports to every subscriber at once: something has changed that none may learn late.
     pub(super) fn report(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         for known in self.balancers.values_mut() {
-            known.told = ids::UnixMillis(0);
+            known.last_sent = ids::UnixMillis(0);
         }
         self.report_due(now, actions);
     }
@@ -156,7 +156,7 @@
         self.report_sequence += 1;
         let report = self.own_report(now);
         let policy = self.config.policy.reports;
-        let is_alone = !self.hears_balancer();
+        let is_alone = !self.reaches_balancer();
         for (balancer, known) in &mut self.balancers {
             let is_far = known.data_centre.is_some_and(|centre| centre != self.config.data_centre);
             let period_ms = match known.is_subscriber {
@@ -165,22 +165,22 @@
                 false if is_alone || known.introductions < INTRODUCTIONS => INTRODUCTION_MS,
                 false => continue,
             };
-            if now.since(known.told) >= period_ms {
-                known.told = now;
+            if now.since(known.last_sent) >= period_ms {
+                known.last_sent = now;
                 known.introductions += u32::from(!known.is_subscriber);
-                actions.push(stream::StreamAction::Tell(*balancer, report.clone()));
+                actions.push(stream::StreamAction::Send(*balancer, report.clone()));
             }
         }
     }
 
     /// For how long the backend server has run, where it is new and that was seen, or where its slow
-    /// start tells.
+    /// start shows it.
     ///
-    /// An agent that starts on a thin machine hears its reports 2 and 3 first, and has not seen its start.
+    /// An agent that starts late receives its later reports first, and has not seen its start.
     fn host_age_ms(&self, now: ids::UnixMillis) -> Option<u32> {
         let seen = now.since(self.host_began);
-        let told = self.slow_start.age_ms(&self.rules(), now);
-        let age_ms = told.map_or(seen, |told| told.min(seen));
+        let reported = self.slow_start.age_ms(&self.rules(), now);
+        let age_ms = reported.map_or(seen, |reported| reported.min(seen));
         (age_ms < HOST_NEW_MS).then_some(age_ms as u32)
     }
 
--- a/crates/core/src/stream/board.rs
+++ b/crates/core/src/stream/agent_table.rs
@@ -1,4 +1,4 @@
-//! What one balancer knows of every agent, and which of them a new stream goes to.
+//! What one balancer knows of every agent, and which agent a new stream goes to.
 
 use std::collections;
 use std::net;
@@ -51,9 +51,9 @@
 /// milliseconds: machines come back within 300 of each other.
 const TOGETHER_MS: u64 = 500;
 
-/// How many machines are looked at between two ticks: a connection costs some 0.1 ms, and the thinnest
-/// balancer has a twentieth of a core.
-const LOOKS_AT_ONCE: usize = 8;
+/// Machines probed per tick. Each probe is a connection, which a balancer with a small share of a core
+/// can open only so often.
+const MAX_PROBES_PER_TICK: usize = 8;
 
 /// What is known of one agent.
 #[derive(Clone, Debug)]
@@ -68,13 +68,13 @@
     subscribed: Option<ids::UnixMillis>,
     /// When it was last asked for a single report.
     requested: ids::UnixMillis,
-    /// When it was last heard.
-    pub heard: ids::UnixMillis,
-    /// Whether it counted as heard when that was last looked at.
-    pub is_heard: bool,
-    /// How many openings were sent there since.
+    /// When its last report or load arrived; before that, when it became known.
+    pub last_report: ids::UnixMillis,
+    /// Whether its last report was within the timeout at the last sweep.
+    pub is_reachable: bool,
+    /// Openings sent there since its last report.
     pub(super) sent_since: u32,
-    machine: machine::MachineDoubt,
+    machine: machine::MachineLiveness,
 }
 
 impl KnownAgent {
@@ -84,7 +84,7 @@
 
     /// When it was last known to run, by its own messages or by another balancer's.
     fn last_seen(&self) -> ids::UnixMillis {
-        self.heard.max(self.machine.told())
+        self.last_report.max(self.machine.last_mention())
     }
 
     fn is_subscribed(&self) -> bool {
@@ -93,7 +93,7 @@
 
     /// Whether it does not report although it was subscribed to long ago.
     fn is_unresponsive(&self, now: ids::UnixMillis) -> bool {
-        self.subscribed.is_some_and(|since| now.since(since.max(self.heard)) > REPLACE_MS)
+        self.subscribed.is_some_and(|since| now.since(since.max(self.last_report)) > REPLACE_MS)
     }
 }
 
@@ -150,7 +150,7 @@
 
 /// Every agent that one balancer knows.
 #[derive(Debug, Default)]
-pub struct AgentBoard {
+pub struct AgentTable {
     agents: collections::BTreeMap<net::SocketAddrV4, KnownAgent>,
     data_centre: u32,
     /// The region of each data centre.
@@ -163,25 +163,25 @@
     own: Option<net::SocketAddrV4>,
     /// When subscriptions were last drawn; `None` if members have changed since.
     drawn: Option<ids::UnixMillis>,
-    /// Since when this balancer has heard most agents without a break.
+    /// When reports from a majority of agents last resumed.
     in_contact: ids::UnixMillis,
 }
 
-impl AgentBoard {
-    /// A board for a balancer.
-    pub fn new(config: &stream::StreamConfig, now: ids::UnixMillis) -> AgentBoard {
-        AgentBoard {
+impl AgentTable {
+    /// An empty table for a balancer.
+    pub fn new(config: &stream::StreamConfig, now: ids::UnixMillis) -> AgentTable {
+        AgentTable {
             data_centre: config.data_centre,
             regions: config.regions.clone(),
             policy: config.policy,
             started: now,
             own: Some(config.address),
-            ..AgentBoard::default()
+            ..AgentTable::default()
         }
     }
 
-    /// Takes in a report; says whether it changes what is believed of the agent.
-    pub fn hear(
+    /// Applies a report; returns whether the state of a subscribed agent has changed.
+    pub fn on_report(
         &mut self,
         from: net::SocketAddrV4,
         report: &message::AgentReport,
@@ -190,7 +190,7 @@
         let drawn = &mut self.drawn;
         let known = self.agents.entry(from).or_insert_with(|| {
             *drawn = None;
-            unheard(now)
+            unreported(now)
         });
         let is_late = known.report.as_ref().is_some_and(|held| {
             held.agent == report.agent && held.load.sequence > report.load.sequence
@@ -202,7 +202,7 @@
             .report
             .as_ref()
             .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
-        let is_news = known.is_subscribed() && (!is_same || !known.is_heard);
+        let is_news = known.is_subscribed() && (!is_same || !known.is_reachable);
         if known.service != Some(report.service) || known.data_centre != Some(report.data_centre) {
             self.drawn = None;
         }
@@ -210,16 +210,16 @@
             report: Some(report.clone()),
             service: Some(report.service),
             data_centre: Some(report.data_centre),
-            is_heard: true,
+            is_reachable: true,
             subscribed: known.subscribed,
             requested: known.requested,
-            ..unheard(now)
+            ..unreported(now)
         };
         is_news
     }
 
-    /// Takes in the load that rides on another message.
-    pub fn hear_load(
+    /// Applies the load that another message carries.
+    pub fn apply_load(
         &mut self,
         from: net::SocketAddrV4,
         load: load::LoadReport,
@@ -230,11 +230,11 @@
         if load.sequence >= report.load.sequence {
             report.load = load;
             known.sent_since = 0;
-            known.heard = now;
+            known.last_report = now;
         }
     }
 
-    /// Notes that an agent takes no new streams, until its next report.
+    /// Records that an agent takes no new streams, until its next report.
     pub fn note_refusal(&mut self, agent: net::SocketAddrV4, phase: host::HostPhase) {
         let known = self.agents.get_mut(&agent).and_then(|known| known.report.as_mut());
         if let Some(report) = known {
@@ -242,14 +242,14 @@
         }
     }
 
-    /// Notes an opening that was sent.
+    /// Records an opening that was sent.
     pub fn note_sent(&mut self, agent: net::SocketAddrV4) {
         if let Some(known) = self.agents.get_mut(&agent) {
             known.sent_since += 1;
         }
     }
 
-    /// Notes which data centres get no new streams.
+    /// Sets which data centres get no new streams.
     pub fn evacuate(&mut self, evacuations: &evacuation::EvacuationBelief) {
         self.evacuated = evacuations.hashes().collect();
     }
@@ -262,7 +262,7 @@
         data_centre: Option<u32>,
         now: ids::UnixMillis,
     ) {
-        let known = self.agents.entry(agent).or_insert_with(|| unheard(now));
+        let known = self.agents.entry(agent).or_insert_with(|| unreported(now));
         if known.service.is_none() || known.data_centre.is_none() {
             known.service = known.service.or(Some(service));
             known.data_centre = known.data_centre.or(data_centre);
@@ -313,57 +313,57 @@
         due
     }
 
-    /// Notes that another balancer hears an agent.
-    pub fn note_told(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
+    /// Records that another balancer mentioned an agent as reachable.
+    pub fn on_mention(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
         if let Some(known) = self.agents.get_mut(&agent) {
-            known.machine.note_told(now);
+            known.machine.on_mention(now);
         }
     }
 
-    /// The agents whose machines are to be looked at now: announced ones that were never heard, once most
-    /// others are.
-    pub fn take_due_looks(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
-        if !self.hears_most() {
+    /// The agents whose machines are to be probed now: subscribed ones that have never reported, once
+    /// most others have.
+    pub fn take_due_probes(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        if !self.reaches_most() {
             return Vec::new();
         }
         let mut due = Vec::new();
-        let unheard = self.agents.iter_mut().filter(|(_, known)| {
-            let since = known.subscribed.map(|since| since.max(known.heard));
-            let is_due = since.is_some_and(|since| known.machine.is_look_due(since, now));
+        let unreported = self.agents.iter_mut().filter(|(_, known)| {
+            let since = known.subscribed.map(|since| since.max(known.last_report));
+            let is_due = since.is_some_and(|since| known.machine.is_probe_due(since, now));
             known.report.is_none() && is_due
         });
-        for (agent, known) in unheard.take(LOOKS_AT_ONCE) {
-            known.machine.note_look(now);
+        for (agent, known) in unreported.take(MAX_PROBES_PER_TICK) {
+            known.machine.on_probe(now);
             due.push(*agent);
         }
         due
     }
 
-    /// Takes in whether the machine of an agent answered.
-    pub fn note_machine(&mut self, agent: net::SocketAddrV4, is_there: bool) {
+    /// Records whether the machine of an agent answered a probe.
+    pub fn on_machine_probed(&mut self, agent: net::SocketAddrV4, is_there: bool) {
         if let Some(known) = self.agents.get_mut(&agent) {
-            known.machine.note_outcome(is_there);
+            known.machine.on_probe_outcome(is_there);
         }
     }
 
-    /// Forgets agents unheard for long; gives back those that have just stopped being heard.
+    /// Forgets agents not seen for long; returns the subscribed ones whose reports have just timed out.
     pub fn sweep(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
         let before = self.agents.len();
         self.agents.retain(|_, known| now.since(known.last_seen()) <= KEPT_MS);
         if self.agents.len() != before {
             self.drawn = None;
         }
-        if !self.hears_most() {
+        if !self.reaches_most() {
             self.lose_contact(now);
         }
         let mut silent = Vec::new();
         let (data_centre, reports) = (self.data_centre, self.policy.reports);
         for (address, known) in &mut self.agents {
-            let heard_ms = reports.heard_ms(known.is_in(data_centre));
-            if !known.is_heard || now.since(known.heard) <= heard_ms {
+            let timeout_ms = reports.timeout_ms(known.is_in(data_centre));
+            if !known.is_reachable || now.since(known.last_report) <= timeout_ms {
                 continue;
             }
-            known.is_heard = false;
+            known.is_reachable = false;
             match known.is_subscribed() {
                 true => silent.push(*address),
                 // What it reported once says nothing of what it is now.
@@ -374,17 +374,17 @@
     }
 }
 
-impl AgentBoard {
-    /// Notes that this balancer itself was away: that it has not heard an agent says nothing.
+impl AgentTable {
+    /// Records that this balancer itself was paused or unreachable: missing reports say nothing.
     ///
-    /// One that wakes, or is reached again, hears one agent first and would take the others for
-    /// lost, though their reports are on the way: open streams would be reset.
+    /// After that, one agent's report arrives first, and the others would be taken for lost though their
+    /// reports are on the way: open streams would be reset.
     pub fn lose_contact(&mut self, now: ids::UnixMillis) {
         self.in_contact = now;
     }
 }
 
-impl AgentBoard {
+impl AgentTable {
     /// The agents that this balancer subscribes to.
     pub fn subscribed(&self) -> impl Iterator<Item = net::SocketAddrV4> {
         let subscribed = self.agents.iter().filter(|(_, known)| known.is_subscribed());
@@ -396,25 +396,25 @@
         self.agents.keys().copied()
     }
 
-    /// Where agents heard lately take messages.
-    pub fn heard(&self) -> impl Iterator<Item = net::SocketAddrV4> {
-        self.agents.iter().filter(|(_, known)| known.is_heard).map(|(address, _)| *address)
+    /// Where reachable agents take messages.
+    pub fn reachable(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        self.agents.iter().filter(|(_, known)| known.is_reachable).map(|(address, _)| *address)
     }
 
-    /// Agents that report, as other balancers are told of them.
-    pub fn heard_members(&self) -> impl Iterator<Item = stream::AnnouncedMember> {
-        let heard = self.agents.iter().filter(|(_, known)| known.is_heard);
-        heard.map(|(address, known)| stream::AnnouncedMember {
+    /// Reachable agents, as they are mentioned to other balancers.
+    pub fn reachable_members(&self) -> impl Iterator<Item = stream::AnnouncedMember> {
+        let reachable = self.agents.iter().filter(|(_, known)| known.is_reachable);
+        reachable.map(|(address, known)| stream::AnnouncedMember {
             address: *address,
             service: Some(known.service.unwrap_or_default()),
             data_centre: known.data_centre,
         })
     }
 
-    /// The data centres of which any agent is heard.
-    pub fn heard_centres(&self) -> impl Iterator<Item = u32> {
-        let heard = self.agents.values().filter(|known| known.is_heard);
-        heard.filter_map(|known| known.report.as_ref().map(|report| report.data_centre))
+    /// The data centres with any reachable agent.
+    pub fn reachable_centres(&self) -> impl Iterator<Item = u32> {
+        let reachable = self.agents.values().filter(|known| known.is_reachable);
+        reachable.filter_map(|known| known.report.as_ref().map(|report| report.data_centre))
     }
 
     /// How many agents that have reported are in a data centre.
@@ -423,9 +423,9 @@
         reported.filter(|known| known.is_in(data_centre)).count()
     }
 
-    /// The data centres whose agents were heard once and have all been silent for so long, while this
-    /// balancer has heard most others.
-    pub fn silent_centres(
+    /// The data centres whose agents have all sent no report for so long, while this balancer received
+    /// those of most others.
+    pub fn unreachable_centres(
         &self,
         silent_ms: u64,
         now: ids::UnixMillis,
@@ -434,7 +434,7 @@
         for known in self.agents.values() {
             let Some(report) = &known.report else { continue };
             let last = last_heard.entry(report.data_centre).or_insert(self.in_contact);
-            *last = (*last).max(known.heard);
+            *last = (*last).max(known.last_report);
         }
         let silent = last_heard.into_iter().filter(|(_, last)| now.since(*last) >= silent_ms);
         silent.map(|(centre, _)| centre).collect()
@@ -465,37 +465,38 @@
         holders
     }
 
-    /// Whether an agent that was never heard is taken as lost: its machine is not there, or it has been
-    /// silent for longer than a restart takes.
+    /// Whether an agent without a report is taken as lost: its machine is down, or it has been silent for
+    /// longer than a restart takes.
     ///
-    /// A machine that is cut off looks like one without power, and its streams may be open: it counts
+    /// A machine that is cut off cannot be told from one without power, and its streams may be open: it counts
     /// as not there only where most backend servers have begun together with this balancer, after a loss
     /// of power.
     fn is_taken_as_lost(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
         let lost_ms = u64::from(self.policy.recovery.lost_ms);
         let (since, limit_ms) = match known.subscribed {
-            Some(subscribed) => (known.heard.max(subscribed), lost_ms),
+            Some(subscribed) => (known.last_report.max(subscribed), lost_ms),
             None => (known.last_seen(), MENTION_TIMEOUT_MS + lost_ms),
         };
         let is_overdue = now.since(since.max(self.in_contact)) > limit_ms;
         is_overdue || (known.machine.is_gone(now) && self.is_after_power_loss(now))
     }
 
-    /// Whether half of the agents are heard, and have backend servers that began when this balancer did.
+    /// Whether half of the subscribed agents are reachable and have backend servers that began when this
+    /// balancer did.
     fn is_after_power_loss(&self, now: ids::UnixMillis) -> bool {
         let own_age_ms = now.since(self.started);
         let began_with_it = |known: &&KnownAgent| {
             let age_ms = known.report.as_ref().and_then(|report| report.host_age_ms);
-            let age_ms = age_ms.map(|age_ms| u64::from(age_ms) + now.since(known.heard));
-            known.is_heard && age_ms.is_some_and(|age_ms| age_ms <= own_age_ms + TOGETHER_MS)
+            let age_ms = age_ms.map(|age_ms| u64::from(age_ms) + now.since(known.last_report));
+            known.is_reachable && age_ms.is_some_and(|age_ms| age_ms <= own_age_ms + TOGETHER_MS)
         };
         let subscribed = || self.agents.values().filter(|known| known.is_subscribed());
         2 * subscribed().filter(began_with_it).count() >= subscribed().count()
     }
 
-    fn hears_most(&self) -> bool {
+    fn reaches_most(&self) -> bool {
         let subscribed = || self.agents.values().filter(|known| known.is_subscribed());
-        2 * subscribed().filter(|known| known.is_heard).count() >= subscribed().count()
+        2 * subscribed().filter(|known| known.is_reachable).count() >= subscribed().count()
     }
 
     fn draw_subscriptions(
@@ -533,9 +534,9 @@
         self.agents.get(&agent)
     }
 
-    /// Whether an agent was heard lately enough for a new stream.
+    /// Whether an agent reported lately enough for a new stream.
     pub fn is_fresh(&self, agent: net::SocketAddrV4, now: ids::UnixMillis) -> bool {
-        self.agents.get(&agent).is_some_and(|known| self.is_heard(known, now))
+        self.agents.get(&agent).is_some_and(|known| self.is_reachable(known, now))
     }
 
     /// The agent that a new stream goes to: of a few drawn at random the emptiest, or of all where
@@ -586,7 +587,7 @@
         let report = known.report.as_ref();
         let serves =
             report.is_some_and(|r| r.service == service && r.phase == host::HostPhase::Serving);
-        serves && self.is_heard(known, now)
+        serves && self.is_reachable(known, now)
     }
 
     fn exclusion(&self, known: &KnownAgent, needs: OpeningNeeds<'_>) -> Option<PlaceExclusion> {
@@ -604,22 +605,22 @@
         known.is_in(self.data_centre)
     }
 
-    fn is_heard(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
-        now.since(known.heard) <= self.policy.reports.heard_ms(self.is_near(known))
+    fn is_reachable(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
+        now.since(known.last_report) <= self.policy.reports.timeout_ms(self.is_near(known))
     }
 }
 
-fn unheard(now: ids::UnixMillis) -> KnownAgent {
+fn unreported(now: ids::UnixMillis) -> KnownAgent {
     KnownAgent {
         report: None,
         service: None,
         data_centre: None,
         subscribed: None,
         requested: ids::UnixMillis(0),
-        heard: now,
-        is_heard: false,
+        last_report: now,
+        is_reachable: false,
         sent_since: 0,
-        machine: machine::MachineDoubt::default(),
+        machine: machine::MachineLiveness::default(),
     }
 }
 
@@ -628,6 +629,6 @@
         address: *address,
         busy: cost::busy(known),
         has_room: cost::has_room(known),
-        report_age_ms: now.since(known.heard),
+        report_age_ms: now.since(known.last_report),
     }
 }
--- a/crates/core/src/stream/balancer/centres.rs
+++ b/crates/core/src/stream/balancer/centres.rs
@@ -1,4 +1,4 @@
-//! Data centres that are lost: nobody hears anything of them any more.
+//! Data centres that are lost: no balancer receives reports from them any more.
 //!
 //! The load it answers: a data centre loses its power, and callers go on sending on streams whose
 //! backend servers were there. Each would wait for its deadline, some at once and some seconds later,
@@ -19,24 +19,26 @@
 /// servers that lived; half as much again bears slow ones.
 const LOST_MS: u64 = 1_500;
 
-/// How many processes must have been heard in a data centre for their silence to tell anything: two may
-/// be restarted at the same time.
+/// How many processes of a data centre must have reported for their silence to show its loss: two may be
+/// restarted at the same time.
 const LEAST_PROCESSES: usize = 3;
 
 impl balancer::StreamBalancer {
     /// Looks anew which data centres are lost.
     ///
-    /// One that this balancer alone does not hear is not: packets may pass one way only, and streams
-    /// there go on. So each balancer says which data centres it hears.
+    /// One that this balancer alone receives nothing from is not: packets may pass one way only, and streams
+    /// there go on. So each balancer reports which data centres it receives reports from.
     pub(super) fn find_lost_centres(
         &mut self,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let mut lost = self.board.silent_centres(LOST_MS, now);
+        let mut lost = self.table.unreachable_centres(LOST_MS, now);
         lost.retain(|centre| self.processes_in(*centre) >= LEAST_PROCESSES);
-        for peer in self.peers.values().filter(|peer| peer.is_heard) {
-            lost.retain(|centre| Some(*centre) != peer.data_centre && !peer.hears.contains(centre));
+        for peer in self.peers.values().filter(|peer| peer.is_reachable) {
+            lost.retain(|centre| {
+                Some(*centre) != peer.data_centre && !peer.reachable_centres.contains(centre)
+            });
         }
         for centre in lost.symmetric_difference(&self.lost_centres) {
             let is_lost = lost.contains(centre);
@@ -50,21 +52,22 @@
 }
 
 impl balancer::StreamBalancer {
-    /// The data centres of which this balancer hears any process but itself.
-    pub(super) fn heard_centres(&self) -> Vec<u32> {
-        let peers = self.peers.values().filter(|peer| peer.is_heard);
-        let centres = peers.filter_map(|peer| peer.data_centre).chain(self.board.heard_centres());
+    /// The data centres of which any process but this one is reachable.
+    pub(super) fn reachable_centres(&self) -> Vec<u32> {
+        let peers = self.peers.values().filter(|peer| peer.is_reachable);
+        let centres =
+            peers.filter_map(|peer| peer.data_centre).chain(self.table.reachable_centres());
         centres.collect::<collections::BTreeSet<u32>>().into_iter().collect()
     }
 
     fn processes_in(&self, centre: u32) -> usize {
         let peers = self.peers.values().filter(|peer| peer.data_centre == Some(centre));
-        self.board.agents_in(centre) + peers.count()
+        self.table.agents_in(centre) + peers.count()
     }
 
     /// Whether an agent is in a data centre that is lost.
     pub(super) fn is_lost(&self, agent: net::SocketAddrV4) -> bool {
-        let centre = self.board.get(agent).and_then(|known| known.data_centre);
+        let centre = self.table.get(agent).and_then(|known| known.data_centre);
         centre.is_some_and(|centre| self.lost_centres.contains(&centre))
     }
 }
--- a/crates/core/src/stream/balancer/evacuations.rs
+++ b/crates/core/src/stream/balancer/evacuations.rs
@@ -11,14 +11,14 @@
 /// openings, in milliseconds.
 ///
 /// The platform answers within some 10, and so does another balancer; several calls that fail fit in.
-/// After that it serves: with the platform away for all, nobody could tell, and a fleet that has lost
+/// After that it serves: with the platform away for all, nobody knows, and a fleet that has lost
 /// its power would refuse every caller for as long, while a data centre is evacuated once in a while.
 const KNOWLEDGE_WAIT_MS: u64 = 1_000;
 
 impl balancer::StreamBalancer {
     /// Takes in a list of evacuated data centres, of the platform or of another balancer.
     ///
-    /// What changes is told at once, so that it is known everywhere within two steps, and the agents
+    /// A change is reported at once, so that it is known everywhere within two steps, and the agents
     /// turn away what balancers that missed it still send.
     pub(super) fn take_evacuations(
         &mut self,
@@ -47,7 +47,7 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        self.board.evacuate(&self.evacuations);
+        self.table.evacuate(&self.evacuations);
         actions.push(stream::StreamAction::Note(note::StreamNote::evacuated(&self.evacuations)));
         self.report(now, actions);
     }
@@ -86,7 +86,7 @@
         &self.evacuations
     }
 
-    /// The latest epoch of the platform's store that was told here.
+    /// The latest epoch of the platform's store that is known here.
     pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
         self.store_epoch
     }
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -17,7 +17,7 @@
 use crate::ids;
 use crate::store_epoch;
 use crate::stream;
-use crate::stream::board;
+use crate::stream::agent_table;
 use crate::stream::evacuation;
 use crate::stream::lookup;
 use crate::stream::message;
@@ -27,38 +27,34 @@
 use crate::stream::pause;
 use crate::stream::segment;
 
-/// How often a balancer looks whom to tell of itself, and the shortest time between two of its reports
-/// to the same process, in milliseconds.
+/// How often a balancer checks which reports are due, and the shortest interval between two of them to
+/// the same process, in milliseconds.
 const REPORT_MS: u64 = 200;
 
-/// What each balancer of the fleet adds to the time between two reports of one, in milliseconds: a
-/// process hears twenty of them a second.
-///
-/// A newer configuration is noticed by them, whichever balancer they are of, and who is there; both have
-/// seconds. At 91 balancers and 204 agents with five a second from each, they were 134,000 of 220,000
-/// messages a second.
+/// Report interval per balancer that reports here, in milliseconds. Keeps the rate at which a process
+/// receives reports constant while all balancers exchange them.
 const REPORT_SHARE_MS: u64 = 50;
 
-/// The longest time between two reports to an agent, in milliseconds: it has others to hear, and only
-/// learns by them whom to tell of its load.
+/// The longest interval between two reports to an agent, in milliseconds. They only keep up the
+/// subscription to its own.
 const AGENT_REPORT_MS: u64 = 1_000;
 
-/// The longest time between two reports to another balancer, in milliseconds: of those that are heard
-/// the first three watch the platform, and one that is lost must soon have a successor.
+/// The longest interval between two reports to another balancer, in milliseconds: a balancer that
+/// watched the platform and is lost must soon have a successor.
 const PEER_REPORT_MS: u64 = 400;
 
 #[derive(Clone, Debug)]
 struct PeerBalancer {
-    /// Its data centre, once it has been heard.
+    /// Its data centre, once it is known.
     data_centre: Option<u32>,
-    /// The data centres that it hears.
-    hears: Vec<u32>,
-    heard: ids::UnixMillis,
+    /// The data centres that it receives reports from.
+    reachable_centres: Vec<u32>,
+    last_report: ids::UnixMillis,
     /// When another balancer last received a report from it.
     mentioned: ids::UnixMillis,
     /// When it was last asked whether it still runs.
     requested: ids::UnixMillis,
-    is_heard: bool,
+    is_reachable: bool,
     is_leaving: bool,
     reaches_platform: bool,
 }
@@ -66,7 +62,7 @@
 impl PeerBalancer {
     /// When it was last known to run, by its own reports or by another balancer's.
     fn last_seen(&self) -> ids::UnixMillis {
-        self.heard.max(self.mentioned)
+        self.last_report.max(self.mentioned)
     }
 }
 
@@ -75,24 +71,24 @@
 pub struct StreamBalancer {
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
-    board: board::AgentBoard,
+    table: agent_table::AgentTable,
     evacuations: evacuation::EvacuationBelief,
-    /// The latest epoch of the platform's store that was told here.
+    /// The latest epoch of the platform's store that is known here.
     store_epoch: store_epoch::StoreEpoch,
     owners: owners::StreamOwners,
     searches: lookup::OwnerSearches,
     parked: parked::ParkedOpenings,
     pause: pause::PauseGuard,
     peers: collections::BTreeMap<net::SocketAddrV4, PeerBalancer>,
-    /// Data centres that nobody hears any more.
+    /// Data centres that no balancer receives reports from any more.
     lost_centres: collections::BTreeSet<u32>,
     random: rngs::SmallRng,
     /// Whether the list of announced processes has been read in this run.
     knows_members: bool,
-    /// When it last looked whom to tell of itself.
+    /// When it last checked which reports are due.
     reported: ids::UnixMillis,
-    told_agents: ids::UnixMillis,
-    told_peers: ids::UnixMillis,
+    last_agent_report: ids::UnixMillis,
+    last_peer_report: ids::UnixMillis,
     reaches_platform: bool,
     is_leaving: bool,
     started: ids::UnixMillis,
@@ -105,7 +101,7 @@
     pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamBalancer {
         StreamBalancer {
             state: sync::Arc::default(),
-            board: board::AgentBoard::new(&config, now),
+            table: agent_table::AgentTable::new(&config, now),
             evacuations: evacuation::EvacuationBelief::default(),
             store_epoch: store_epoch::StoreEpoch::default(),
             owners: owners::StreamOwners::default(),
@@ -117,8 +113,8 @@
             random: rngs::SmallRng::seed_from_u64(config.seed),
             knows_members: false,
             reported: ids::UnixMillis(0),
-            told_agents: ids::UnixMillis(0),
-            told_peers: ids::UnixMillis(0),
+            last_agent_report: ids::UnixMillis(0),
+            last_peer_report: ids::UnixMillis(0),
             reaches_platform: false,
             is_leaving: false,
             started: now,
@@ -135,7 +131,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         if let Some(still_ms) = self.pause.note(now) {
-            self.board.lose_contact(now);
+            self.table.lose_contact(now);
             actions.push(stream::StreamAction::Note(note::StreamNote::Resumed { still_ms }));
         }
         match event {
@@ -143,7 +139,7 @@
                 if segment.head.is_opening() && self.pause.is_resuming(now) => {}
             stream::StreamEvent::Segment(segment) => self.take_segment(&segment, now, actions),
             stream::StreamEvent::Message { from, message, head } => {
-                self.hear(from, message, head, now, actions);
+                self.on_message(from, message, head, now, actions);
             }
             stream::StreamEvent::Config(state) => {
                 if state.generation() > self.state.generation() {
@@ -157,7 +153,7 @@
             }
             stream::StreamEvent::Seeds(seeds) => {
                 for balancer in seeds {
-                    self.meet(balancer, now);
+                    self.discover(balancer, now);
                 }
                 self.report(now, actions);
             }
@@ -167,8 +163,8 @@
             stream::StreamEvent::Members(members) => self.take_members(&members, now, actions),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
             stream::StreamEvent::StoreEpoch(epoch) => self.take_store_epoch(epoch, actions),
-            stream::StreamEvent::MachineLooked { agent, is_there } => {
-                self.board.note_machine(agent, is_there);
+            stream::StreamEvent::MachineProbed { agent, is_there } => {
+                self.table.on_machine_probed(agent, is_there);
             }
             stream::StreamEvent::HostReport(_)
             | stream::StreamEvent::HostLeft(_)
@@ -181,7 +177,7 @@
         }
     }
 
-    fn hear(
+    fn on_message(
         &mut self,
         from: net::SocketAddrV4,
         message: &message::StreamMessage,
@@ -194,20 +190,20 @@
                 self.take_returned(from, returned, &head, now, actions);
             }
             (message::StreamMessage::Held { key, first_sequence, load }, _) => {
-                self.board.hear_load(from, *load, now);
+                self.table.apply_load(from, *load, now);
                 self.take_held(from, *key, *first_sequence, now, actions);
             }
             (message::StreamMessage::Absent { key, is_sure }, _) => {
                 self.take_denial(from, *key, *is_sure, now, actions);
             }
             (message::StreamMessage::Agent(report), _) => {
-                self.hear_agent(from, report, now, actions);
+                self.on_agent_report(from, report, now, actions);
             }
             (message::StreamMessage::Balancer(report), _) => {
-                self.hear_balancer(from, report, now, actions);
+                self.on_balancer_report(from, report, now, actions);
             }
-            (message::StreamMessage::Heard(members), _) => {
-                self.take_heard(members, now, actions);
+            (message::StreamMessage::Members(members), _) => {
+                self.on_members(members, now, actions);
             }
             _ => {}
         }
@@ -217,21 +213,21 @@
         for (key, search) in self.searches.expire(now) {
             self.conclude(key, search, now, actions);
         }
-        for agent in self.board.sweep(now) {
-            let known = self.board.get(agent).and_then(|known| known.report.as_ref());
+        for agent in self.table.sweep(now) {
+            let known = self.table.get(agent).and_then(|known| known.report.as_ref());
             if let Some(report) = known {
                 actions.push(stream::StreamAction::Note(note::StreamNote::AgentChanged {
                     agent,
                     run: report.agent.to_string(),
                     phase: report.phase,
-                    is_heard: false,
+                    is_reachable: false,
                 }));
             }
         }
         self.renew_subscriptions(now, actions);
         self.find_lost_centres(now, actions);
-        let due_looks = self.board.take_due_looks(now).into_iter();
-        actions.extend(due_looks.map(stream::StreamAction::LookAtMachine));
+        let due_probes = self.table.take_due_probes(now).into_iter();
+        actions.extend(due_probes.map(stream::StreamAction::ProbeMachine));
         self.note_unknown_evacuations(now, actions);
         self.expire_evacuations(now, actions);
         self.place_parked(now, actions);
@@ -272,25 +268,26 @@
     pub fn is_ready(&self, now: ids::UnixMillis) -> bool {
         let has_config = self.state.generation() > ids::ConfigGeneration(0);
         let is_informed = has_config && !self.awaits_evacuations(now);
-        is_informed && !self.is_leaving && self.board.heard().next().is_some()
+        is_informed && !self.is_leaving && self.table.reachable().next().is_some()
     }
 
     /// Whether this balancer is one of the first `limit` of those that reach the platform.
     ///
-    /// Each of the others need not watch the platform: it hears from these. Views differ for a
+    /// Each of the others need not watch the platform: these pass changes on. Views differ for a
     /// while, so there may be a few more or fewer, which costs some calls or some milliseconds.
     pub fn is_watcher(&self, limit: usize) -> bool {
         let rank = |address: &net::SocketAddrV4| {
             ids::mix_words(u64::from(address.ip().to_bits()), u64::from(address.port()))
         };
         let own = rank(&self.config.address);
-        let reaching = self.peers.iter().filter(|(_, peer)| peer.is_heard && peer.reaches_platform);
+        let reaching =
+            self.peers.iter().filter(|(_, peer)| peer.is_reachable && peer.reaches_platform);
         reaching.filter(|(address, _)| rank(address) > own).count() < limit
     }
 
-    /// Whether another balancer has been heard lately.
-    pub fn hears_balancer(&self) -> bool {
-        self.peers.values().any(|peer| peer.is_heard)
+    /// Whether another balancer has reported lately.
+    pub fn reaches_balancer(&self) -> bool {
+        self.peers.values().any(|peer| peer.is_reachable)
     }
 
     /// How many streams and searches there are.
@@ -299,8 +296,8 @@
     }
 
     /// What is known of the agents.
-    pub fn board(&self) -> &board::AgentBoard {
-        &self.board
+    pub fn table(&self) -> &agent_table::AgentTable {
+        &self.table
     }
 
     fn service_at(&self, key: segment::StreamKey) -> Option<ids::ServiceId> {
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -1,4 +1,4 @@
-//! What a balancer hears of agents and other balancers, and tells them.
+//! Reports between a balancer, its agents and other balancers.
 
 use std::net;
 
@@ -6,15 +6,15 @@
 
 use crate::ids;
 use crate::stream;
+use crate::stream::agent_table;
 use crate::stream::balancer;
-use crate::stream::board;
 use crate::stream::message;
 use crate::stream::note;
 use crate::stream::subset;
 
-/// How long another balancer may be unheard and still be told of, in milliseconds: three of its reports
-/// and some.
-const HEARD_MS: u64 = 3 * balancer::PEER_REPORT_MS + 200;
+/// How long another balancer counts as reachable after its last report, in milliseconds: three of its
+/// reports, and some.
+const REPORT_TIMEOUT_MS: u64 = 3 * balancer::PEER_REPORT_MS + 200;
 
 /// How long a balancer that nobody receives reports from is remembered, in milliseconds.
 const KEPT_MS: u64 = 30_000;
@@ -48,19 +48,19 @@
         self.report(now, actions);
     }
 
-    pub(super) fn hear_agent(
+    pub(super) fn on_agent_report(
         &mut self,
         from: net::SocketAddrV4,
         report: &message::AgentReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if self.board.hear(from, report, now) {
+        if self.table.on_report(from, report, now) {
             actions.push(stream::StreamAction::Note(note::StreamNote::AgentChanged {
                 agent: from,
                 run: report.agent.to_string(),
                 phase: report.phase,
-                is_heard: true,
+                is_reachable: true,
             }));
         }
         if report.generation > self.state.generation() {
@@ -68,35 +68,36 @@
         }
     }
 
-    pub(super) fn hear_balancer(
+    pub(super) fn on_balancer_report(
         &mut self,
         from: net::SocketAddrV4,
         report: &message::BalancerReport,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        self.meet(from, now);
+        self.discover(from, now);
         if let Some(peer) = self.peers.get_mut(&from) {
-            let is_news = !peer.is_heard;
+            let is_news = !peer.is_reachable;
             *peer = balancer::PeerBalancer {
                 data_centre: Some(report.data_centre),
-                hears: report.hears.clone(),
-                heard: now,
+                reachable_centres: report.reachable_centres.clone(),
+                last_report: now,
                 mentioned: now,
                 requested: peer.requested,
-                is_heard: true,
+                is_reachable: true,
                 is_leaving: report.is_leaving,
                 reaches_platform: report.reaches_platform,
             };
             if is_news {
-                let changed = note::StreamNote::BalancerChanged { balancer: from, is_heard: true };
+                let changed =
+                    note::StreamNote::BalancerChanged { balancer: from, is_reachable: true };
                 actions.push(stream::StreamAction::Note(changed));
-                actions.push(stream::StreamAction::Tell(from, self.own_report(now)));
-                for part in self.heard_members() {
-                    actions.push(stream::StreamAction::Tell(from, part));
+                actions.push(stream::StreamAction::Send(from, self.own_report(now)));
+                for part in self.reachable_members() {
+                    actions.push(stream::StreamAction::Send(from, part));
                 }
             } else if !report.wants_reports {
-                actions.push(stream::StreamAction::Tell(from, self.own_report(now)));
+                actions.push(stream::StreamAction::Send(from, self.own_report(now)));
             }
         }
         if report.generation > self.state.generation() {
@@ -107,16 +108,16 @@
     }
 
     /// Merges the members that another balancer receives reports from.
-    pub(super) fn take_heard(
+    pub(super) fn on_members(
         &mut self,
-        heard: &message::HeardMembers,
+        reachable: &message::ReachableMembers,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        for member in &heard.members {
+        for member in &reachable.members {
             self.insert_member(member, now);
             match member.service {
-                Some(_) => self.board.note_told(member.address, now),
+                Some(_) => self.table.on_mention(member.address, now),
                 None => {
                     if let Some(peer) = self.peers.get_mut(&member.address) {
                         peer.mentioned = now;
@@ -129,9 +130,9 @@
 
     fn insert_member(&mut self, member: &stream::AnnouncedMember, now: ids::UnixMillis) {
         match member.service {
-            Some(service) => self.board.insert(member.address, service, member.data_centre, now),
+            Some(service) => self.table.insert(member.address, service, member.data_centre, now),
             None => {
-                self.meet(member.address, now);
+                self.discover(member.address, now);
                 if let Some(peer) = self.peers.get_mut(&member.address) {
                     peer.data_centre = peer.data_centre.or(member.data_centre);
                 }
@@ -139,7 +140,7 @@
         }
     }
 
-    /// Draws the agents to subscribe to where that is due, and tells those for which it has changed.
+    /// Draws the agents to subscribe to where that is due, and notifies those for which it has changed.
     pub(super) fn renew_subscriptions(
         &mut self,
         now: ids::UnixMillis,
@@ -148,8 +149,8 @@
         let own = self.config.data_centre;
         let near = self.peers.values().filter(|peer| peer.data_centre == Some(own));
         let near_balancers = near.count() + 1;
-        let change = self.board.renew_subscriptions(near_balancers, now);
-        if change == board::SubscriptionChange::default() {
+        let change = self.table.renew_subscriptions(near_balancers, now);
+        if change == agent_table::SubscriptionChange::default() {
             return;
         }
         let subscribe = self.own_report(now);
@@ -157,7 +158,7 @@
         let added = change.added.into_iter().map(|agent| (agent, &subscribe));
         let dropped = change.dropped.into_iter().map(|agent| (agent, &unsubscribe));
         for (agent, report) in added.chain(dropped) {
-            actions.push(stream::StreamAction::Tell(agent, report.clone()));
+            actions.push(stream::StreamAction::Send(agent, report.clone()));
         }
     }
 
@@ -167,23 +168,23 @@
     /// it while the platform is away, and which members still run. Sent to one balancer at a time, news
     /// reaches twice as many with each interval.
     pub(super) fn pass_members_on(&mut self, actions: &mut Vec<stream::StreamAction>) {
-        let heard = self.peers.iter().filter(|(_, peer)| peer.is_heard);
-        let drawn = heard.map(|(address, _)| *address).choose(&mut self.random);
-        let part = self.heard_members().into_iter().choose(&mut self.random);
+        let reachable = self.peers.iter().filter(|(_, peer)| peer.is_reachable);
+        let drawn = reachable.map(|(address, _)| *address).choose(&mut self.random);
+        let part = self.reachable_members().into_iter().choose(&mut self.random);
         if let (Some(peer), Some(part)) = (drawn, part) {
-            actions.push(stream::StreamAction::Tell(peer, part));
+            actions.push(stream::StreamAction::Send(peer, part));
         }
     }
 
-    pub(super) fn meet(&mut self, balancer: net::SocketAddrV4, now: ids::UnixMillis) {
+    pub(super) fn discover(&mut self, balancer: net::SocketAddrV4, now: ids::UnixMillis) {
         if balancer != self.config.address {
             self.peers.entry(balancer).or_insert(balancer::PeerBalancer {
                 data_centre: None,
-                hears: Vec::new(),
-                heard: now,
+                reachable_centres: Vec::new(),
+                last_report: now,
                 mentioned: now,
                 requested: ids::UnixMillis(0),
-                is_heard: false,
+                is_reachable: false,
                 is_leaving: false,
                 reaches_platform: false,
             });
@@ -196,14 +197,14 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         self.peers.retain(|_, peer| match peer.is_leaving {
-            true => now.since(peer.heard) <= HEARD_MS,
+            true => now.since(peer.last_report) <= REPORT_TIMEOUT_MS,
             false => now.since(peer.last_seen()) <= KEPT_MS,
         });
         for (balancer, peer) in &mut self.peers {
-            if peer.is_heard && now.since(peer.heard) > HEARD_MS {
-                peer.is_heard = false;
+            if peer.is_reachable && now.since(peer.last_report) > REPORT_TIMEOUT_MS {
+                peer.is_reachable = false;
                 let balancer = *balancer;
-                let changed = note::StreamNote::BalancerChanged { balancer, is_heard: false };
+                let changed = note::StreamNote::BalancerChanged { balancer, is_reachable: false };
                 actions.push(stream::StreamAction::Note(changed));
             }
         }
@@ -213,8 +214,8 @@
     /// learn late.
     pub(super) fn report(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         self.reported = now;
-        self.told_agents = ids::UnixMillis(0);
-        self.told_peers = ids::UnixMillis(0);
+        self.last_agent_report = ids::UnixMillis(0);
+        self.last_peer_report = ids::UnixMillis(0);
         self.report_due(now, actions);
     }
 
@@ -225,15 +226,15 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let report = self.own_report(now);
-        if now.since(self.told_agents) >= self.report_period_ms(balancer::AGENT_REPORT_MS) {
-            self.told_agents = now;
-            let agents = self.board.subscribed();
-            actions.extend(agents.map(|agent| stream::StreamAction::Tell(agent, report.clone())));
+        if now.since(self.last_agent_report) >= self.report_period_ms(balancer::AGENT_REPORT_MS) {
+            self.last_agent_report = now;
+            let agents = self.table.subscribed();
+            actions.extend(agents.map(|agent| stream::StreamAction::Send(agent, report.clone())));
         }
-        if now.since(self.told_peers) >= self.report_period_ms(balancer::PEER_REPORT_MS) {
-            self.told_peers = now;
+        if now.since(self.last_peer_report) >= self.report_period_ms(balancer::PEER_REPORT_MS) {
+            self.last_peer_report = now;
             let peers = self.neighbours().into_iter();
-            actions.extend(peers.map(|peer| stream::StreamAction::Tell(peer, report.clone())));
+            actions.extend(peers.map(|peer| stream::StreamAction::Send(peer, report.clone())));
         }
         self.request_unmentioned(now, actions);
     }
@@ -245,14 +246,14 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let request = self.request_report(now);
-        for agent in self.board.take_due_requests(now) {
-            actions.push(stream::StreamAction::Tell(agent, request.clone()));
+        for agent in self.table.take_due_requests(now) {
+            actions.push(stream::StreamAction::Send(agent, request.clone()));
         }
         for (address, peer) in &mut self.peers {
             let is_unseen = now.since(peer.last_seen()) >= MENTION_TIMEOUT_MS;
             if is_unseen && now.since(peer.requested) >= REQUEST_INTERVAL_MS {
                 peer.requested = now;
-                actions.push(stream::StreamAction::Tell(*address, request.clone()));
+                actions.push(stream::StreamAction::Send(*address, request.clone()));
             }
         }
     }
@@ -263,8 +264,8 @@
     }
 
     fn report_period_ms(&self, most: u64) -> u64 {
-        let heard = self.peers.values().filter(|peer| peer.is_heard).count() as u64;
-        (balancer::REPORT_SHARE_MS * (heard + 1)).clamp(balancer::REPORT_MS, most)
+        let reachable = self.peers.values().filter(|peer| peer.is_reachable).count() as u64;
+        (balancer::REPORT_SHARE_MS * (reachable + 1)).clamp(balancer::REPORT_MS, most)
     }
 
     pub(super) fn own_report(&self, now: ids::UnixMillis) -> message::StreamMessage {
@@ -286,24 +287,24 @@
             generation: self.state.generation(),
             is_leaving: self.is_leaving,
             reaches_platform: self.reaches_platform && !self.is_leaving,
-            hears: self.heard_centres(),
-            evacuations: self.evacuations.told(now),
+            reachable_centres: self.reachable_centres(),
+            evacuations: self.evacuations.advertised(now),
             store_epoch: self.store_epoch,
             wants_reports,
         }
     }
 
     /// The members that this balancer receives reports from, in parts that each fit a datagram.
-    fn heard_members(&self) -> Vec<message::StreamMessage> {
-        let peers = self.peers.iter().filter(|(_, peer)| peer.is_heard && !peer.is_leaving);
+    fn reachable_members(&self) -> Vec<message::StreamMessage> {
+        let peers = self.peers.iter().filter(|(_, peer)| peer.is_reachable && !peer.is_leaving);
         let balancers = peers.map(|(address, peer)| stream::AnnouncedMember {
             address: *address,
             service: None,
             data_centre: peer.data_centre,
         });
-        let members: Vec<_> = balancers.chain(self.board.heard_members()).collect();
+        let members: Vec<_> = balancers.chain(self.table.reachable_members()).collect();
         let parts = members.chunks(message::MEMBERS_PER_MESSAGE);
-        let heard = parts.map(|part| message::HeardMembers { members: part.to_vec() });
-        heard.map(message::StreamMessage::Heard).collect()
+        let reachable = parts.map(|part| message::ReachableMembers { members: part.to_vec() });
+        reachable.map(message::StreamMessage::Members).collect()
     }
 }
--- a/crates/core/src/stream/balancer/openings.rs
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -4,8 +4,8 @@
 
 use crate::ids;
 use crate::stream;
+use crate::stream::agent_table;
 use crate::stream::balancer;
-use crate::stream::board;
 use crate::stream::host;
 use crate::stream::message;
 use crate::stream::note;
@@ -30,13 +30,13 @@
         match target {
             _ if self.parked.contains(key) => {}
             // Sent to a second agent while it waits at one, it would occupy a slot at each.
-            owners::RepeatTarget::Waiting(agent) if self.board.is_fresh(agent, now) => {
+            owners::RepeatTarget::Waiting(agent) if self.table.is_fresh(agent, now) => {
                 let kind = message::CarryKind::OpenQueued;
                 self.carry(agent, kind, segment.bytes, actions, key);
             }
             // The answer to an earlier copy was lost on its way to the caller.
             owners::RepeatTarget::Holder(agent) | owners::RepeatTarget::Last(agent)
-                if self.board.is_fresh(agent, now) =>
+                if self.table.is_fresh(agent, now) =>
             {
                 self.carry(agent, message::CarryKind::Open, segment.bytes, actions, key);
             }
@@ -62,25 +62,25 @@
         }
         let state = self.state.clone();
         let regions = state.regions_at(net::SocketAddr::V4(key.entry));
-        let needs = board::OpeningNeeds { service, regions };
+        let needs = agent_table::OpeningNeeds { service, regions };
         let Some(owner) = self.owners.touch(key) else { return };
         // An agent may have had it twice: for a free slot, and to queue.
         let passed = owner.queued.iter().filter(|agent| !owner.tried.contains(agent));
         let tried = owner.tried.len() + passed.count();
-        let free = self.board.choose(needs, &owner.tried, now, &mut self.random);
+        let free = self.table.choose(needs, &owner.tried, now, &mut self.random);
         let (kind, choice) = match free {
             Some(choice) if choice.has_room => (message::CarryKind::Open, choice),
             _ if owner.queued.len() >= self.config.policy.placement.queued_tries as usize => {
                 return self.reset(key, 0, note::ResetReason::AllRefused, actions);
             }
-            _ => match self.board.choose(needs, &owner.queued, now, &mut self.random) {
+            _ => match self.table.choose(needs, &owner.queued, now, &mut self.random) {
                 Some(choice) => (message::CarryKind::OpenQueued, choice),
-                None if owner.queued.is_empty() => match self.board.exclusion_of_all(needs, now) {
+                None if owner.queued.is_empty() => match self.table.exclusion_of_all(needs, now) {
                     // Nothing that could be waited for takes it in time.
-                    Some(board::PlaceExclusion::Evacuated) => {
+                    Some(agent_table::PlaceExclusion::Evacuated) => {
                         return self.reset(key, 0, note::ResetReason::Evacuated, actions);
                     }
-                    Some(board::PlaceExclusion::OtherRegion) => {
+                    Some(agent_table::PlaceExclusion::OtherRegion) => {
                         return self.reset(key, 0, note::ResetReason::OtherRegion, actions);
                     }
                     None => return self.park(key, bytes, now, actions),
@@ -93,7 +93,7 @@
         }
         owner.tried.retain(|agent| *agent != choice.address);
         owner.tried.push(choice.address);
-        self.board.note_sent(choice.address);
+        self.table.note_sent(choice.address);
         actions.push(stream::StreamAction::Note(note::StreamNote::Placed {
             stream: key,
             agent: choice.address,
@@ -120,8 +120,8 @@
             return;
         }
         let is_informed = !self.awaits_evacuations(now);
-        let hears_agents = self.board.heard().next().is_some();
-        match is_informed && hears_agents {
+        let reaches_agents = self.table.reachable().next().is_some();
+        match is_informed && reaches_agents {
             true => self.reset(key, 0, note::ResetReason::NoAgent, actions),
             // Cut off or just started: that nobody is there is not known. The caller's next copy
             // may come through a balancer that knows more.
@@ -162,13 +162,13 @@
             from,
             returned.reason,
         )));
-        self.board.hear_load(from, returned.load, now);
+        self.table.apply_load(from, returned.load, now);
         match returned.reason {
             message::ReturnReason::NotServing => {
-                self.board.note_refusal(from, host::HostPhase::Draining);
+                self.table.note_refusal(from, host::HostPhase::Draining);
             }
             message::ReturnReason::Silent | message::ReturnReason::Evacuated => {
-                self.board.note_refusal(from, host::HostPhase::Unknown);
+                self.table.note_refusal(from, host::HostPhase::Unknown);
             }
             _ => {}
         }
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -4,8 +4,8 @@
 
 use crate::ids;
 use crate::stream;
+use crate::stream::agent_table;
 use crate::stream::balancer;
-use crate::stream::board;
 use crate::stream::lookup;
 use crate::stream::message;
 use crate::stream::note;
@@ -46,9 +46,9 @@
                 let expected = segment.head.acknowledged;
                 self.reset(key, expected, note::ResetReason::CentreLost, actions);
             }
-            // It had the opening, has not said what became of it and is heard no more: the caller may have
+            // It had the opening, has not said what became of it and no longer reports: the caller may have
             // taken the answer to a copy that came through another balancer.
-            Some((agent, _, false)) if !self.board.is_fresh(agent, now) => {
+            Some((agent, _, false)) if !self.table.is_fresh(agent, now) => {
                 self.search(key, service, segment, now, actions);
             }
             Some((agent, ..)) => {
@@ -67,7 +67,7 @@
         key: segment::StreamKey,
     ) {
         // A stream whose address the configuration no longer names goes on where it is.
-        let known = || self.board.get(agent)?.service;
+        let known = || self.table.get(agent)?.service;
         let service = self.service_at(key).or_else(known).unwrap_or_default();
         let carry = message::CarryMessage {
             kind,
@@ -76,7 +76,7 @@
             segment: bytes.to_vec(),
         };
         let message = message::StreamMessage::Carry(carry);
-        actions.push(stream::StreamAction::Tell(agent, message));
+        actions.push(stream::StreamAction::Send(agent, message));
     }
 
     pub(super) fn search(
@@ -88,9 +88,9 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let is_whole = self.knows_members;
-        let holders = board::PossibleHolders {
+        let holders = agent_table::PossibleHolders {
             is_whole,
-            ..self.board.holders(service, &self.lost_centres, now)
+            ..self.table.holders(service, &self.lost_centres, now)
         };
         let asked = holders.agents.len();
         let outcome = self.searches.wait(key, service, &holders, segment, now);
@@ -101,7 +101,7 @@
         for agent in holders.agents {
             let caller_expects = segment.head.acknowledged;
             let find = message::StreamMessage::Find { key, caller_expects };
-            actions.push(stream::StreamAction::Tell(agent, find));
+            actions.push(stream::StreamAction::Send(agent, find));
         }
     }
 
@@ -241,7 +241,7 @@
     /// Ends a search, with the agents whose backend servers may still hold the stream.
     ///
     /// Where every process that is announced has answered so, the stream is open nowhere: its
-    /// backend server has died. Its caller is told, and tries again within its aim; without it, it
+    /// backend server has died. Its caller gets a reset, and tries again within its aim; without it, it
     /// would send into nothing until its deadline. Whoever holds a stream is announced: each
     /// process announces itself before it reads who else is, so of two one sees the other.
     fn end_search(
--- a/crates/core/src/stream/evacuation.rs
+++ b/crates/core/src/stream/evacuation.rs
@@ -178,7 +178,7 @@
     }
 
     /// What other processes are told.
-    pub fn told(&self, now: ids::UnixMillis) -> EvacuationState {
+    pub fn advertised(&self, now: ids::UnixMillis) -> EvacuationState {
         let hold = self.kept_until.map(|until| RestoreHold {
             data_centres: self.kept.clone(),
             left_ms: until.0.saturating_sub(now.0),
--- a/crates/core/src/stream/held.rs
+++ b/crates/core/src/stream/held.rs
@@ -211,7 +211,7 @@
     }
 
     /// Takes in the backend server's segment.
-    pub fn hear_host(
+    pub fn on_host_segment(
         &mut self,
         key: segment::StreamKey,
         head: &segment::SegmentHead,
--- a/crates/core/src/stream/host.rs
+++ b/crates/core/src/stream/host.rs
@@ -74,10 +74,10 @@
 struct KnownRun {
     report: report::HostReport,
     phase: HostPhase,
-    first_heard: ids::UnixMillis,
-    heard: ids::UnixMillis,
+    first_report: ids::UnixMillis,
+    last_report: ids::UnixMillis,
     /// When the report before the last one was heard.
-    heard_before: ids::UnixMillis,
+    report_before: ids::UnixMillis,
 }
 
 /// A run that reports although it began earlier than the known one by its own word.
@@ -94,7 +94,7 @@
 
 impl HostState {
     /// Takes in a report.
-    pub fn hear(
+    pub fn on_report(
         &mut self,
         report: &report::HostReport,
         period_ms: u64,
@@ -154,7 +154,7 @@
 
     fn hear_again(&mut self, report: &report::HostReport, now: ids::UnixMillis) -> ReportOutcome {
         let Some(known) = &mut self.known else { return ReportOutcome::Stale };
-        let outcome = known.hear(report, now);
+        let outcome = known.on_report(report, now);
         if outcome == ReportOutcome::Stale {
             return outcome;
         }
@@ -175,7 +175,7 @@
         now: ids::UnixMillis,
     ) -> ReportOutcome {
         let was_up = self.known.as_ref().filter(|known| known.was_up(period_ms));
-        let alive_at = was_up.map(|known| known.heard_before);
+        let alive_at = was_up.map(|known| known.report_before);
         self.take_over(report, now);
         match alive_at {
             Some(alive_at) => ReportOutcome::Replaced { alive_at },
@@ -232,9 +232,9 @@
         KnownRun {
             report: report.clone(),
             phase: said_phase(report),
-            first_heard: now,
-            heard: now,
-            heard_before: now,
+            first_report: now,
+            last_report: now,
+            report_before: now,
         }
     }
 
@@ -244,21 +244,21 @@
 
     /// Whether it has not reported for a while.
     fn is_silent(&self, period_ms: u64, now: ids::UnixMillis) -> bool {
-        now.since(self.heard) > SILENT_PERIODS * period_ms
+        now.since(self.last_report) > SILENT_PERIODS * period_ms
     }
 
     /// Whether it has reported over some time, and not only by late reports that came at once.
     fn was_up(&self, period_ms: u64) -> bool {
-        self.heard.since(self.first_heard) >= period_ms / 2
+        self.last_report.since(self.first_report) >= period_ms / 2
     }
 
-    fn hear(&mut self, report: &report::HostReport, now: ids::UnixMillis) -> ReportOutcome {
+    fn on_report(&mut self, report: &report::HostReport, now: ids::UnixMillis) -> ReportOutcome {
         // A run never changes its service: that is another writer's word.
         if report.sequence <= self.report.sequence || report.service != self.report.service {
             return ReportOutcome::Stale;
         }
-        self.heard_before = self.heard;
-        self.heard = now;
+        self.report_before = self.last_report;
+        self.last_report = now;
         let phase = said_phase(report);
         let is_news = phase > self.phase || report.slots != self.report.slots;
         // Leaving is never taken back within a run: a report from before it must not undo it.
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -1,4 +1,4 @@
-//! What balancers and agents tell each other, a datagram each.
+//! The messages between balancers and agents, a datagram each.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -89,7 +89,7 @@
     pub segment: Vec<u8>,
 }
 
-/// What an agent tells every balancer it knows, several times a second.
+/// An agent's state, sent to each subscriber several times a second.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AgentReport {
     /// This run of the agent.
@@ -109,7 +109,7 @@
     pub generation: ids::ConfigGeneration,
 }
 
-/// What a balancer tells every agent and balancer it knows.
+/// A balancer's state, sent to the agents that it subscribes to and to its neighbours.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BalancerReport {
     /// Its data centre.
@@ -120,8 +120,8 @@
     pub is_leaving: bool,
     /// Whether its last call to the platform succeeded.
     pub reaches_platform: bool,
-    /// The data centres that it hears any process of.
-    pub hears: Vec<u32>,
+    /// The data centres of which it receives any process's reports.
+    pub reachable_centres: Vec<u32>,
     /// The evacuated data centres that it knows of: a few names, most often none.
     pub evacuations: evacuation::EvacuationState,
     /// The latest epoch of the platform's store that it knows of.
@@ -132,9 +132,9 @@
     pub wants_reports: bool,
 }
 
-/// Members that a balancer has received reports from lately, or a part of them.
+/// Members that a balancer receives reports from, or a part of them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HeardMembers {
+pub struct ReachableMembers {
     /// At most [`MEMBERS_PER_MESSAGE`] balancers and agents.
     pub members: Vec<stream::AnnouncedMember>,
 }
@@ -179,8 +179,8 @@
     Agent(AgentReport),
     /// A balancer's report.
     Balancer(BalancerReport),
-    /// Whom a balancer has heard lately.
-    Heard(HeardMembers),
+    /// Members that a balancer receives reports from.
+    Members(ReachableMembers),
 }
 
 /// What a message is for.
@@ -204,7 +204,7 @@
     AgentReport,
     /// A balancer's report.
     BalancerReport,
-    /// Whom a balancer has heard lately.
+    /// Members that a balancer receives reports from.
     Members,
 }
 
@@ -255,7 +255,7 @@
             StreamMessage::Absent { .. } => MessageKind::Absent,
             StreamMessage::Agent(_) => MessageKind::AgentReport,
             StreamMessage::Balancer(_) => MessageKind::BalancerReport,
-            StreamMessage::Heard(_) => MessageKind::Members,
+            StreamMessage::Members(_) => MessageKind::Members,
         }
     }
 }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -7,18 +7,18 @@
 //! | module | holds |
 //! |---|---|
 //! | [`segment`] | the head of a segment, free of its layout on the wire |
-//! | [`message`] | what balancers and agents tell each other |
+//! | [`message`] | the messages between balancers and agents |
 //! | [`report`] | what a backend server says of itself, and which of its runs says it |
 //! | [`evacuation`] | which data centres get no new streams |
 //! | [`host`] | which run of the backend server is up, and whether it takes new streams |
 //! | [`held`] | the streams that one backend server holds, and the work in progress there |
 //! | [`agent`] | what one backend server is handed, and what it gives back |
-//! | [`board`] | what one balancer knows of every agent |
-//! | [`machine`] | whether the machine of an agent that was never heard is there |
+//! | [`agent_table`] | what one balancer knows of every agent, and its subscriptions |
+//! | [`machine`] | whether the machine of an agent that has not reported runs |
 //! | [`mean`] | the mean of the latest samples of something that changes |
 //! | [`note`] | what a decision tells the log |
 //! | [`owners`] | which agent one balancer sends each stream to |
-//! | [`parked`] | openings that wait until an agent is heard of |
+//! | [`parked`] | openings that wait until an agent is known |
 //! | [`pause`] | what a process does after it has stood still |
 //! | [`policy`] | the figures that decisions go by |
 //! | [`waiting`] | openings that wait at an agent for a free slot |
@@ -30,8 +30,8 @@
 //! | [`balancer`] | where a caller's segment goes, and what is refused |
 
 pub mod agent;
+pub mod agent_table;
 pub mod balancer;
-pub mod board;
 mod cost;
 pub mod evacuation;
 pub mod held;
@@ -95,7 +95,7 @@
     /// A run of the backend server has left; the word may name its id alone.
     HostLeft(report::HostRun),
     /// Whether the machine of an announced agent answered a connection, if only to refuse it.
-    MachineLooked {
+    MachineProbed {
         /// Where the agent takes messages.
         agent: net::SocketAddrV4,
         /// Whether it answered.
@@ -134,9 +134,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum StreamAction {
     /// Send a message to another process.
-    Tell(net::SocketAddrV4, message::StreamMessage),
-    /// Hand a segment to the backend server.
-    HandOver(segment::SegmentMarks, Vec<u8>),
+    Send(net::SocketAddrV4, message::StreamMessage),
+    /// Deliver a segment to the backend server.
+    Deliver(segment::SegmentMarks, Vec<u8>),
     /// Send a segment to its caller.
     Answer(net::Ipv4Addr, Vec<u8>),
     /// Reset a caller's stream; the number is one that the caller takes.
@@ -145,8 +145,8 @@
     FetchConfig(net::SocketAddrV4),
     /// See whether anything listens at the backend server's address.
     ProbeHost,
-    /// See whether the machine of an announced agent answers a connection.
-    LookAtMachine(net::SocketAddrV4),
+    /// Probe the machine of an announced agent with a connection.
+    ProbeMachine(net::SocketAddrV4),
     /// Count how long something took.
     Measure(StreamTiming),
     /// Log what was decided.
--- a/crates/core/src/stream/note.rs
+++ b/crates/core/src/stream/note.rs
@@ -140,8 +140,8 @@
         run: String,
         /// Whether its backend server takes new streams.
         phase: host::HostPhase,
-        /// Whether it is heard.
-        is_heard: bool,
+        /// Whether its reports arrive.
+        is_reachable: bool,
     },
     /// What an agent believes of its backend server has changed.
     HostChanged {
@@ -174,14 +174,14 @@
         /// The id that it names.
         run: String,
     },
-    /// A balancer was heard of for the first time, or no longer is.
+    /// Reports of a balancer have begun to arrive, or have stopped.
     BalancerChanged {
         /// The balancer.
         balancer: net::SocketAddrV4,
-        /// Whether it is heard.
-        is_heard: bool,
+        /// Whether its reports arrive.
+        is_reachable: bool,
     },
-    /// A data centre is lost: nobody hears any process there. Or it is back.
+    /// A data centre is lost: no balancer receives reports from there. Or it is back.
     CentreChanged {
         /// A hash of its name.
         data_centre: u32,
--- a/crates/core/src/stream/policy.rs
+++ b/crates/core/src/stream/policy.rs
@@ -103,7 +103,7 @@
 impl ReportPolicy {
     /// How long an agent may be unheard before no new stream goes there, in milliseconds: three of
     /// its reports and some.
-    pub fn heard_ms(&self, is_near: bool) -> u64 {
+    pub fn timeout_ms(&self, is_near: bool) -> u64 {
         3 * u64::from(if is_near { self.near_ms } else { self.far_ms }) + 50
     }
 }
--- a/crates/core/src/stream/slow_start.rs
+++ b/crates/core/src/stream/slow_start.rs
@@ -46,7 +46,7 @@
 
 impl SlowStart {
     /// Takes in a report of the backend server: for how much longer it is slow, in milliseconds.
-    pub fn hear(&mut self, slow_ms: u64, now: ids::UnixMillis) {
+    pub fn on_report(&mut self, slow_ms: u64, now: ids::UnixMillis) {
         self.slow_until = now.plus(slow_ms);
         self.unproven = self.unproven.saturating_sub(1);
     }
--- a/crates/core/tests/stream_fleet.rs
+++ b/crates/core/tests/stream_fleet.rs
@@ -93,11 +93,11 @@
     let mut world = fleet(90, 210);
     world.advance(40_000);
     for balancer in world.balancers.values() {
-        let known = balancer.board().addresses().count();
+        let known = balancer.table().addresses().count();
         assert_eq!(known, 210);
         let service = ids::ServiceId::of_name("wallet");
         let holders =
-            balancer.board().holders(Some(service), &collections::BTreeSet::new(), world.now);
+            balancer.table().holders(Some(service), &collections::BTreeSet::new(), world.now);
         assert_eq!((holders.agents.len(), holders.has_lost), (210, false));
     }
 }
@@ -108,7 +108,7 @@
     for (balancers, agents) in [(90, 210), (4, 240)] {
         let world = fleet(balancers, agents);
         for (address, agent) in &world.agents {
-            assert!(agent.hears_balancer(), "{address} with {balancers} balancers");
+            assert!(agent.reaches_balancer(), "{address} with {balancers} balancers");
         }
     }
 }
--- a/crates/core/tests/stream_members.rs
+++ b/crates/core/tests/stream_members.rs
@@ -28,7 +28,7 @@
     let seeds = vec![world::balancer_address(2)];
     world.handle(newcomer, stream::StreamEvent::Seeds(seeds));
     world.advance(500);
-    assert_eq!(world.balancers[&newcomer].board().heard().count(), 4);
+    assert_eq!(world.balancers[&newcomer].table().reachable().count(), 4);
     world.entry_balancer = newcomer;
     let key = world::key(1, 0);
     world.open(key, 0);
@@ -48,7 +48,7 @@
     world.handle(newcomer, stream::StreamEvent::Seeds(seeds));
     world.advance(2_000);
     for balancer in world.balancers.values() {
-        assert!(balancer.board().heard().any(|agent| agent == newcomer));
+        assert!(balancer.table().reachable().any(|agent| agent == newcomer));
     }
 }
 
@@ -97,7 +97,7 @@
 #[test]
 fn telling_bounded() {
     const SECONDS: u64 = 10;
-    let heard = |balancers: u8| {
+    let reachable = |balancers: u8| {
         let mut world = world::StreamWorld::calm();
         for nth in 3..=balancers {
             world.start_balancer(nth);
@@ -109,16 +109,16 @@
         let peer = world::balancer_address(2);
         let a_second = |process| world.told[&(process, "balancer_report")] / SECONDS;
         let rates = (a_second(agent), a_second(peer));
-        assert_eq!(world.balancers[&peer].board().heard().count(), 3);
-        assert!(world.balancers.values().all(|balancer| balancer.hears_balancer()));
+        assert_eq!(world.balancers[&peer].table().reachable().count(), 3);
+        assert!(world.balancers.values().all(|balancer| balancer.reaches_balancer()));
         world.set_config(world::config(2, &[("wallet", &[0, 1, 2]), ("preview", &[5])]));
         world.advance(2_000);
         let generations = world.balancers.values().map(|balancer| balancer.state().generation());
         assert!(generations.chain([world.agents[&agent].state().generation()]).all(|g| g.0 == 2));
         rates
     };
-    let (agent, peer) = heard(4);
+    let (agent, peer) = reachable(4);
     assert!((18..=22).contains(&agent) && (13..=17).contains(&peer), "{agent} {peer}");
-    let (agent, peer) = heard(24);
+    let (agent, peer) = reachable(24);
     assert!(agent <= 28 && peer <= 70, "{agent} {peer}");
 }
--- a/crates/core/tests/stream_moves.rs
+++ b/crates/core/tests/stream_moves.rs
@@ -238,22 +238,22 @@
     };
     let mut state = host::HostState::default();
     let start = ids::UnixMillis(1_000);
-    assert_eq!(state.hear(&report("o", 7, false), 400, start), host::ReportOutcome::Changed);
-    assert_eq!(state.hear(&report("a", 1, false), 400, start), host::ReportOutcome::Adopted);
+    assert_eq!(state.on_report(&report("o", 7, false), 400, start), host::ReportOutcome::Changed);
+    assert_eq!(state.on_report(&report("a", 1, false), 400, start), host::ReportOutcome::Adopted);
     let now = start.plus(400);
-    assert_eq!(state.hear(&report("a", 2, false), 400, now), host::ReportOutcome::Unchanged);
+    assert_eq!(state.on_report(&report("a", 2, false), 400, now), host::ReportOutcome::Unchanged);
     assert_eq!(
-        state.hear(&report("b", 1, false), 400, now),
+        state.on_report(&report("b", 1, false), 400, now),
         host::ReportOutcome::Replaced { alive_at: start }
     );
-    assert_eq!(state.hear(&report("a", 9, false), 400, now), host::ReportOutcome::Stale);
-    assert_eq!(state.hear(&report("b", 3, true), 400, now), host::ReportOutcome::Changed);
-    assert_eq!(state.hear(&report("b", 2, false), 400, now), host::ReportOutcome::Stale);
-    assert_eq!(state.hear(&report("b", 4, false), 400, now), host::ReportOutcome::Unchanged);
+    assert_eq!(state.on_report(&report("a", 9, false), 400, now), host::ReportOutcome::Stale);
+    assert_eq!(state.on_report(&report("b", 3, true), 400, now), host::ReportOutcome::Changed);
+    assert_eq!(state.on_report(&report("b", 2, false), 400, now), host::ReportOutcome::Stale);
+    assert_eq!(state.on_report(&report("b", 4, false), 400, now), host::ReportOutcome::Unchanged);
     assert_eq!(state.phase(400, now), host::HostPhase::Draining);
     let left = report::HostRun { id: "b".to_owned(), born: None };
     assert_eq!(state.leave(&left), host::LeaveOutcome::Ended);
-    assert_eq!(state.hear(&report("b", 5, false), 400, now), host::ReportOutcome::Stale);
+    assert_eq!(state.on_report(&report("b", 5, false), 400, now), host::ReportOutcome::Stale);
     assert_eq!(state.phase(400, now), host::HostPhase::Gone);
 }
 
--- a/crates/core/tests/stream_world/delivery.rs
+++ b/crates/core/tests/stream_world/delivery.rs
@@ -61,7 +61,7 @@
                 }
                 Envelope::ToCaller { caller, bytes } => self.deliver_to_caller(caller, &bytes),
                 Envelope::Looked { balancer, agent, is_there } => {
-                    self.handle(balancer, stream::StreamEvent::MachineLooked { agent, is_there });
+                    self.handle(balancer, stream::StreamEvent::MachineProbed { agent, is_there });
                 }
             }
         }
@@ -95,11 +95,11 @@
 impl StreamWorld {
     pub(super) fn carry_out(&mut self, address: net::SocketAddrV4, action: stream::StreamAction) {
         match action {
-            stream::StreamAction::Tell(to, message) => {
+            stream::StreamAction::Send(to, message) => {
                 *self.told.entry((to, message.kind().label())).or_default() += 1;
                 self.post(DELAY_MS, Envelope::Message { from: address, to, message });
             }
-            stream::StreamAction::HandOver(marks, bytes) => {
+            stream::StreamAction::Deliver(marks, bytes) => {
                 self.post(0, Envelope::ToHost { agent: address, marks, bytes });
             }
             stream::StreamAction::Answer(caller, bytes) => {
@@ -120,7 +120,7 @@
                 view.resets += 1;
             }
             stream::StreamAction::FetchConfig(_) => self.deliver_config(address),
-            stream::StreamAction::LookAtMachine(agent) => {
+            stream::StreamAction::ProbeMachine(agent) => {
                 let is_there = !self.off.contains(&agent) && !self.cut.contains(&agent);
                 self.post(LOOK_MS, Envelope::Looked { balancer: address, agent, is_there });
             }
--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -22,8 +22,9 @@
 /// stream. The users expect 14,000 balancers.
 const MEMBER_LIMIT: usize = 16_384;
 
-/// Between two looks at the platform by a process that hears no balancer, in milliseconds.
-const LONELY_MS: u64 = 1_000;
+/// Interval between reads of the platform's list by a process that no balancer reports to, in
+/// milliseconds.
+const REDISCOVERY_INTERVAL_MS: u64 = 1_000;
 
 /// How long a balancer of a fleet's first start waits until all are announced, in milliseconds.
 const FIRST_START_MS: u64 = 1_000;
@@ -33,19 +34,19 @@
 /// over it.
 const FOUND_MS: u64 = 3_000;
 
-/// Between two checks of whether a balancer is heard, in milliseconds.
+/// Interval between checks of whether a balancer reports, in milliseconds.
 const FOUND_POLL_MS: u64 = 100;
 
-/// Announces this process, then reads who else is there: until a balancer is heard, and again
+/// Announces this process, then reads the list of members: until a balancer reports, and again
 /// whenever none is.
 ///
 /// In this order, of two processes that start together one sees the other.
-pub(crate) async fn meet_members(hub: rc::Rc<hub::StreamHub>) {
+pub(crate) async fn discover_members(hub: rc::Rc<hub::StreamHub>) {
     let mut pause_ms = pauses::FIRST_MS;
     let mut has_read = hub.streams().first_start && join_first_start(&hub).await;
     loop {
-        if has_read && status::holds(&hub.status.hears_balancer) {
-            pauses::sleep_ms(LONELY_MS).await;
+        if has_read && status::holds(&hub.status.reaches_balancer) {
+            pauses::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
             if may_be_lost(&hub) {
                 pauses::sleep_ms(pauses::spread(platform::ANNOUNCE_SPREAD_MS)).await;
                 let result = announce_again(&hub).await;
@@ -60,8 +61,7 @@
                 hub.note_platform(Ok(())).await;
                 has_read = true;
                 hub.tell(packets::StreamInput::Members(members)).await;
-                // Who has been told of answers within a round trip.
-                pauses::sleep_ms(LONELY_MS).await;
+                pauses::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
             }
             Err(error) => {
                 hub.note_platform(Err(error)).await;
@@ -89,10 +89,10 @@
     }
 }
 
-/// Waits at a fleet's first start until a balancer is heard; returns whether one is.
+/// Waits at a fleet's first start until a balancer reports; returns whether one does.
 pub(crate) async fn await_balancer(hub: &hub::StreamHub) -> bool {
     for _ in 0..FOUND_MS / FOUND_POLL_MS {
-        if status::holds(&hub.status.hears_balancer) {
+        if status::holds(&hub.status.reaches_balancer) {
             return true;
         }
         pauses::sleep_ms(FOUND_POLL_MS).await;
--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -35,7 +35,7 @@
         executor.spawn(async move { crate::threads::report(serving.await) }).detach();
     }
     hub.tell_seeds(hub.seeds()).await;
-    executor.spawn(announce::meet_members(hub.clone())).detach();
+    executor.spawn(announce::discover_members(hub.clone())).detach();
     executor.spawn(fetch_configs(hub.clone(), fetches)).detach();
     executor.spawn(follow::follow_config(hub.clone())).detach();
     if hub.streams().evacuations {
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -45,7 +45,7 @@
 /// is for the last lines of its log on a slow machine.
 const GRACE_MARGIN_MS: u64 = 1_500;
 
-/// How often a process on its way out looks whether it may go, in milliseconds.
+/// How often a process on its way out machines whether it may go, in milliseconds.
 const LEAVE_POLL_MS: u64 = 50;
 
 /// After so long without a segment none is under way any more, in milliseconds.
@@ -110,7 +110,7 @@
     let (inputs, input_ends) = rings::ring();
     let (fetches, fetch_ends) = channel::bounded(1);
     let (probes, probe_ends) = channel::bounded(1);
-    let (looks, look_ends) = channel::bounded(machines::LOOK_PLACES);
+    let (machines, probe_requests) = channel::bounded(machines::PENDING_PROBES);
     let status = sync::Arc::new(status::StreamStatus::default());
     let packets = packets::PacketThread {
         engine,
@@ -123,7 +123,7 @@
         inputs: input_ends,
         fetches,
         probes,
-        looks,
+        machines,
         status: status.clone(),
         journal: journal::StreamJournal::new(clock.now()),
         tally: tally::MessageTally::default(),
@@ -167,7 +167,7 @@
     smol::block_on(executor.run(async {
         control::start(&hub, fetch_ends).await?;
         executor.spawn(backend::watch(hub.clone(), probe_ends)).detach();
-        executor.spawn(machines::watch(hub.clone(), look_ends)).detach();
+        executor.spawn(machines::watch(hub.clone(), probe_requests)).detach();
         serve_signals(&hub, signals).await?;
         leave(&hub).await;
         Ok(())
--- a/crates/node/src/stream/follow.rs
+++ b/crates/node/src/stream/follow.rs
@@ -1,7 +1,7 @@
 //! What is followed on the platform: the operators' configuration and the data centres that they have
 //! evacuated.
 //!
-//! A few processes watch, and the others hear from these.
+//! A few processes watch, and pass changes on to the others.
 
 use std::rc;
 use std::time;
@@ -18,7 +18,7 @@
 /// How long one watch of the platform waits, in milliseconds.
 ///
 /// A connection may fall silent without an end. A change must be in force within 3 s, so a watch
-/// that hears nothing is made anew well within that.
+/// without an answer is made anew well within that.
 const WATCH_MS: u64 = 2_000;
 
 /// How long an agent that has just started waits for a balancer before it asks the platform for the
@@ -40,8 +40,7 @@
 /// One matter that is followed, as one process sees it.
 ///
 /// A balancer that knows nothing of it asks once itself and then waits like the others; an agent, and
-/// any process of a fleet's first start, asks only if it hears no balancer. Before the operators have written the first configuration, a fleet of
-/// 26 that went on asking made a quarter of all its calls of a day in these first 0.6 s.
+/// any process of a fleet's first start, asks only if no balancer reports to it.
 struct FollowPace {
     has_asked: bool,
     pause_ms: u64,
@@ -69,10 +68,10 @@
 impl FollowPace {
     fn turn(&self, hub: &hub::StreamHub, knows_it: bool) -> FollowTurn {
         let is_watcher = status::holds(&hub.status.is_watcher);
-        let is_lonely = !status::holds(&hub.status.hears_balancer);
+        let is_isolated = !status::holds(&hub.status.reaches_balancer);
         match () {
             () if !knows_it && !self.has_asked => FollowTurn::Ask,
-            () if is_watcher || is_lonely => FollowTurn::Watch,
+            () if is_watcher || is_isolated => FollowTurn::Watch,
             () => FollowTurn::Leave,
         }
     }
@@ -93,7 +92,7 @@
     pauses::sleep_ms(pauses::jittered(pauses::FIRST_MS)).await;
 }
 
-/// Follows the operators' configuration while this process is a watcher or hears of nothing else.
+/// Follows the operators' configuration while this process is a watcher or no balancer reports to it.
 pub(crate) async fn follow_config(hub: rc::Rc<hub::StreamHub>) {
     match hub.service {
         _ if hub.streams().first_start => drop(announce::await_balancer(&hub).await),
@@ -120,7 +119,7 @@
     }
 }
 
-/// Follows which data centres are evacuated; agents hear it from balancers.
+/// Follows which data centres are evacuated; balancers pass it on to agents.
 pub(crate) async fn follow_evacuations(hub: rc::Rc<hub::StreamHub>) {
     if hub.service.is_some() {
         return;
--- a/crates/node/src/stream/machines.rs
+++ b/crates/node/src/stream/machines.rs
@@ -1,4 +1,4 @@
-//! Whether the machines of agents that were never heard answer a connection.
+//! Probes of the machines of agents that have not reported.
 
 use std::io;
 use std::net;
@@ -11,25 +11,25 @@
 use crate::stream::hub;
 use crate::stream::packets;
 
-/// How many machines may be looked at in one go; those beyond are asked for again at the next tick.
-pub(crate) const LOOK_PLACES: usize = 32;
+/// How many probes may wait; those beyond are asked for again at the next tick.
+pub(crate) const PENDING_PROBES: usize = 32;
 
 /// How long a machine may take to answer: it accepts or refuses within a round trip, some milliseconds
 /// between data centres and some tens between regions.
 const ANSWER: time::Duration = time::Duration::from_millis(100);
 
-/// Looks at each machine that is asked for, all at the same time.
+/// Probes each machine that is asked for, all at the same time.
 pub(crate) async fn watch(
     hub: rc::Rc<hub::StreamHub>,
-    looks: channel::Receiver<net::SocketAddrV4>,
+    machines: channel::Receiver<net::SocketAddrV4>,
 ) {
-    while let Ok(agent) = looks.recv().await {
-        let look_hub = hub.clone();
-        let look = async move {
+    while let Ok(agent) = machines.recv().await {
+        let probe_hub = hub.clone();
+        let probe = async move {
             let is_there = is_there(agent).await;
-            look_hub.tell(packets::StreamInput::MachineLooked { agent, is_there }).await;
+            probe_hub.tell(packets::StreamInput::MachineProbed { agent, is_there }).await;
         };
-        hub.executor.spawn(look).detach();
+        hub.executor.spawn(probe).detach();
     }
 }
 
--- a/crates/node/src/stream/mod.rs
+++ b/crates/node/src/stream/mod.rs
@@ -11,7 +11,7 @@
 //! | `announce` | a process's announcement on the platform, and the list of those of the others |
 //! | `follow` | what is followed on the platform, and by whom |
 //! | `hub` | what the duties of that thread share |
-//! | `machines` | whether the machines of agents that were never heard answer |
+//! | `machines` | probes of the machines of agents that have not reported |
 //! | `pauses` | pauses between calls to the platform |
 //! | `routes` | calls of other processes, of the backend server and of operators |
 //! | `journal` | log lines and metrics of decisions, bounded |
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -56,7 +56,7 @@
     /// A run of the backend server has left.
     HostLeft(report::HostRun),
     /// Whether the machine of an announced agent answered a connection.
-    MachineLooked {
+    MachineProbed {
         /// Where the agent takes messages.
         agent: net::SocketAddrV4,
         /// Whether it answered.
@@ -86,8 +86,8 @@
     pub(crate) fetches: channel::Sender<net::SocketAddrV4>,
     /// Asks to see whether the backend server is there.
     pub(crate) probes: channel::Sender<()>,
-    /// Agents whose machines are to be looked at.
-    pub(crate) looks: channel::Sender<net::SocketAddrV4>,
+    /// Agents whose machines are to be probed.
+    pub(crate) machines: channel::Sender<net::SocketAddrV4>,
     pub(crate) status: sync::Arc<status::StreamStatus>,
     pub(crate) journal: journal::StreamJournal,
     pub(crate) tally: tally::MessageTally,
@@ -251,8 +251,8 @@
             StreamInput::StoreEpoch(epoch) => stream::StreamEvent::StoreEpoch(epoch),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
             StreamInput::HostLeft(run) => stream::StreamEvent::HostLeft(run),
-            StreamInput::MachineLooked { agent, is_there } => {
-                stream::StreamEvent::MachineLooked { agent, is_there }
+            StreamInput::MachineProbed { agent, is_there } => {
+                stream::StreamEvent::MachineProbed { agent, is_there }
             }
             StreamInput::HostVanished => stream::StreamEvent::HostVanished,
             StreamInput::Leave => stream::StreamEvent::Leave,
@@ -273,7 +273,7 @@
         let store_epoch = self.engine.store_epoch().0;
         self.status.store_epoch.store(store_epoch, atomic::Ordering::Relaxed);
         status::set(&self.status.is_watcher, self.engine.is_watcher());
-        status::set(&self.status.hears_balancer, self.engine.hears_balancer());
+        status::set(&self.status.reaches_balancer, self.engine.reaches_balancer());
         status::set(&self.status.is_busy, self.engine.is_busy());
         status::set(&self.status.holds_streams, self.engine.holds_streams());
     }
@@ -281,14 +281,14 @@
     fn carry_out(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         for action in actions.drain(..) {
             match action {
-                stream::StreamAction::Tell(to, message) => match packet::encode(&message) {
+                stream::StreamAction::Send(to, message) => match packet::encode(&message) {
                     Ok(bytes) => {
                         self.tally.note(tally::MessageWay::Sent, message.kind(), bytes.len());
                         send(&self.messages, &bytes, to);
                     }
                     Err(error) => log::error!("cannot encode a message: {error}"),
                 },
-                stream::StreamAction::HandOver(marks, mut bytes) => {
+                stream::StreamAction::Deliver(marks, mut bytes) => {
                     self.codec.mark(&mut bytes, marks);
                     match self.backend {
                         Some(backend) => send(&self.segments, &bytes, backend),
@@ -308,7 +308,7 @@
                 // One is under way if the ring is full.
                 stream::StreamAction::ProbeHost => drop(self.probes.try_send(())),
                 // One that finds the ring full is asked for again.
-                stream::StreamAction::LookAtMachine(agent) => drop(self.looks.try_send(agent)),
+                stream::StreamAction::ProbeMachine(agent) => drop(self.machines.try_send(agent)),
                 stream::StreamAction::Measure(timing) => journal::measure(timing),
                 stream::StreamAction::Note(note) => self.journal.write(&note, now),
             }
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -8,7 +8,7 @@
 use rosemaryusher_core::stream::balancer;
 use rosemaryusher_core::stream::evacuation;
 
-/// How many balancers watch the platform; the others hear from these.
+/// How many balancers watch the platform; these pass changes on to the others.
 ///
 /// Each watch counts as a read, so their number must not grow with the fleet. Three see a change
 /// even while one is down and another has just been replaced.
@@ -51,7 +51,7 @@
     pub fn is_ready(&self, now: ids::UnixMillis) -> bool {
         match self {
             StreamRole::Balancer(engine) => engine.is_ready(now),
-            StreamRole::Agent(engine) => engine.hears_balancer(),
+            StreamRole::Agent(engine) => engine.reaches_balancer(),
         }
     }
 
@@ -63,7 +63,7 @@
         }
     }
 
-    /// The latest epoch of the platform's store that was told here.
+    /// The latest epoch of the platform's store that is known here.
     pub fn store_epoch(&self) -> store_epoch::StoreEpoch {
         match self {
             StreamRole::Balancer(engine) => engine.store_epoch(),
@@ -79,11 +79,11 @@
         }
     }
 
-    /// Whether it hears of changes from balancers.
-    pub fn hears_balancer(&self) -> bool {
+    /// Whether balancers report to it, and pass changes on.
+    pub fn reaches_balancer(&self) -> bool {
         match self {
-            StreamRole::Balancer(engine) => engine.hears_balancer(),
-            StreamRole::Agent(engine) => engine.hears_balancer(),
+            StreamRole::Balancer(engine) => engine.reaches_balancer(),
+            StreamRole::Agent(engine) => engine.reaches_balancer(),
         }
     }
 
@@ -112,7 +112,7 @@
                 "run": engine.host_run(),
                 "load": engine.load(now),
                 "streams": engine.streams(),
-                "hears_balancer": engine.hears_balancer(),
+                "reaches_balancer": engine.reaches_balancer(),
                 "evacuations": engine.evacuations(),
                 "store_epoch": engine.store_epoch(),
             }),
@@ -122,12 +122,12 @@
 
 fn dump_balancer(engine: &balancer::StreamBalancer, now: ids::UnixMillis) -> serde_json::Value {
     let (owners, searches) = engine.sizes();
-    let agents = engine.board().addresses().map(|address| {
-        let known = engine.board().get(address);
+    let agents = engine.table().addresses().map(|address| {
+        let known = engine.table().get(address);
         let report = known.and_then(|known| known.report.as_ref());
         serde_json::json!({
             "address": address,
-            "unheard_ms": known.map(|known| now.since(known.heard)),
+            "unheard_ms": known.map(|known| now.since(known.last_report)),
             "report": report,
         })
     });
--- a/crates/node/src/stream/status.rs
+++ b/crates/node/src/stream/status.rs
@@ -9,11 +9,11 @@
     pub(crate) is_ready: atomic::AtomicBool,
     /// Whether it is one of the few that watch the platform.
     pub(crate) is_watcher: atomic::AtomicBool,
-    /// Whether it hears of changes from balancers.
-    pub(crate) hears_balancer: atomic::AtomicBool,
+    /// Whether balancers report to it, and pass changes on.
+    pub(crate) reaches_balancer: atomic::AtomicBool,
     /// Whether a list of evacuated data centres is known here.
     pub(crate) knows_evacuations: atomic::AtomicBool,
-    /// The latest epoch of the platform's store that was told here, by it or by balancers.
+    /// The latest epoch of the platform's store that is known here, by its own answers or from balancers.
     pub(crate) store_epoch: atomic::AtomicU64,
     /// Whether work is in progress.
     pub(crate) is_busy: atomic::AtomicBool,
--- a/crates/wire/tests/foreign_messages.rs
+++ b/crates/wire/tests/foreign_messages.rs
@@ -53,7 +53,7 @@
             load,
             generation,
         }),
-        message::StreamMessage::Heard(message::HeardMembers {
+        message::StreamMessage::Members(message::ReachableMembers {
             members: vec![
                 stream::AnnouncedMember { address, service: None, data_centre: Some(1) },
                 stream::AnnouncedMember {
--- a/crates/wire/tests/member_parts.rs
+++ b/crates/wire/tests/member_parts.rs
@@ -75,18 +75,18 @@
         generation: ids::ConfigGeneration(0),
         is_leaving: false,
         reaches_platform: false,
-        hears: Vec::new(),
+        reachable_centres: Vec::new(),
         evacuations: Default::default(),
         store_epoch: Default::default(),
         wants_reports: true,
     });
     let mut named = collections::BTreeSet::new();
     for action in hear(&mut balancer, address(AGENTS + 1), &newcomer) {
-        let stream::StreamAction::Tell(_, message) = action else { continue };
+        let stream::StreamAction::Send(_, message) = action else { continue };
         let bytes = packet::encode(&message).expect("a message");
         assert!(bytes.len() <= message::LONGEST_MESSAGE, "{} bytes", bytes.len());
-        if let message::StreamMessage::Heard(heard) = message {
-            named.extend(heard.members.into_iter().map(|member| member.address));
+        if let message::StreamMessage::Members(part) = message {
+            named.extend(part.members.into_iter().map(|member| member.address));
         }
     }
     assert_eq!(named.len(), 1 + AGENTS as usize);
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -59,7 +59,7 @@
 stream-hang-unnoticed	crates/core/src/stream/agent/mod.rs	s/self\.give_back_unanswered\(now, actions\);//	-p rosemaryusher-core --test stream_moves host_hangs
 stream-dead-run-silent	crates/core/src/stream/agent/hosting.rs	s/actions\.push\(stream::StreamAction::Reset\(\*key, stream\.caller_expects\)\);/let _ = (key, stream);/	-p rosemaryusher-core --test stream_moves host_crashed
 stream-early-opening-forgotten	crates/core/src/stream/held.rs	s/stream\.opened <= limit/stream.opened <= limit || true/	-p rosemaryusher-core --test stream_moves early_opening
-stream-leaver-struck-off	crates/core/src/stream/agent/neighbours.rs	s/known\.heard = now;\n/if report.is_leaving { self.balancers.remove(\&from); return; }\n        known.heard = now;\n/	-p rosemaryusher-core --test stream_moves last_second
+stream-leaver-struck-off	crates/core/src/stream/agent/neighbours.rs	s/known\.last_report = now;\n/if report.is_leaving { self.balancers.remove(\&from); return; }\n        known.last_report = now;\n/	-p rosemaryusher-core --test stream_moves last_second
 stream-newcomer-refuses	crates/core/src/stream/parked.rs	s/let has_time = .*?;/let has_time = false;/	-p rosemaryusher-core --test stream_moves newcomer_waits
 stream-no-admission	crates/core/src/stream/agent/admission.rs	s/host::HostPhase::Serving if self\.held\.busy\(\) >= limit \|\| self\.is_spent\(now\) => \{\s*Some\(message::ReturnReason::Full\)\s*\}//	-p rosemaryusher-core --test stream_moves storm_passes
 stream-work-not-forgotten	crates/core/src/stream/held.rs	s/WorkPhase::Expecting if age > expect_ms => stream\.phase = WorkPhase::Resting,//	-p rosemaryusher-core --test stream_moves storm_passes
@@ -86,8 +86,8 @@
 stream-answer-astray	crates/core/src/stream/agent/hosting.rs	s/Answer\(\*key\.caller\.ip\(\)/Answer(*key.entry.ip()/	-p rosemaryusher-core --test stream_fuzz
 stream-probes-counted	crates/core/src/stream/agent/admission.rs	s/message::CarryKind::Probe => \{/message::CarryKind::OpenQueued => {/	-p rosemaryusher-core --test stream_search search_is_no_work
 stream-lost-waited-for	crates/core/src/stream/policy.rs	s/lost_ms: 2_000/lost_ms: 60_000/	-p rosemaryusher-core --test stream_search lost_machine
-stream-out-of-contact	crates/core/src/stream/board.rs	s/if !self\.hears_most\(\) \{(\s+)self\.lose_contact/if false {$1self.lose_contact/	-p rosemaryusher-core --test stream_search reached_again
-stream-gone-asked	crates/core/src/stream/board.rs	s/Some\(host::HostPhase::Gone\) => \{\}//	-p rosemaryusher-core --test stream_search one_has_left
+stream-out-of-contact	crates/core/src/stream/agent_table.rs	s/if !self\.reaches_most\(\) \{(\s+)self\.lose_contact/if false {$1self.lose_contact/	-p rosemaryusher-core --test stream_search reached_again
+stream-gone-asked	crates/core/src/stream/agent_table.rs	s/Some\(host::HostPhase::Gone\) => \{\}//	-p rosemaryusher-core --test stream_search one_has_left
 stream-host-not-doubted	crates/core/src/stream/agent/hosting.rs	s/actions\.push\(stream::StreamAction::ProbeHost\);//	-p rosemaryusher-core --test host_vanished killed_midway
 stream-vanished-for-good	crates/core/src/stream/host.rs	s/match std::mem::take\(&mut self\.has_vanished\) \{/match self.has_vanished {/	-p rosemaryusher-core --test host_vanished back_again
 stream-vanished-proves	crates/core/src/stream/agent/hosting.rs	s/host::ReportOutcome::Returned => self\.has_seen_all = false,/host::ReportOutcome::Returned => {}/	-p rosemaryusher-core --test host_vanished back_with_streams
@@ -105,9 +105,9 @@
 stream-grey-trusted	crates/core/src/stream/policy.rs	s/failing_percent: 200/failing_percent: 0/	-p rosemaryusher-core --test grey_host failing_avoided
 marks-left-on	platform/src/head.rs	s/bytes\[FLAGS\] &= !\w+;//	-p rosemaryusher-platform --test head_codec marks_removed
 lost-write-told-undone	platform/src/store.rs	s/http::CallError::Broken => platform::StoreError::Unknown/http::CallError::Broken => platform::StoreError::Unavailable/	-p rosemaryusher-platform --test store_client refusals_and_losses
-evacuated-placed	crates/core/src/stream/board.rs	s/is_open && self\.exclusion\(known, needs\)\.is_none\(\)/is_open/	-p rosemaryusher-core --test evacuate_placed open_ones_stay
+evacuated-placed	crates/core/src/stream/agent_table.rs	s/is_open && self\.exclusion\(known, needs\)\.is_none\(\)/is_open/	-p rosemaryusher-core --test evacuate_placed open_ones_stay
 evacuated-taken	crates/core/src/stream/agent/admission.rs	s/_ if self\.evacuations\.covers\(self\.config\.data_centre\) => \{/_ if false => {/	-p rosemaryusher-core --test evacuate_placed agent_turns_away
-evacuated-waits	crates/core/src/stream/balancer/openings.rs	s/match self\.board\.exclusion_of_all\(needs, now\) \{/match None::<board::PlaceExclusion> {/	-p rosemaryusher-core --test evacuate_placed refused_at_once
+evacuated-waits	crates/core/src/stream/balancer/openings.rs	s/match self\.table\.exclusion_of_all\(needs, now\) \{/match None::<agent_table::PlaceExclusion> {/	-p rosemaryusher-core --test evacuate_placed refused_at_once
 evacuation-late-list	crates/core/src/stream/evacuation.rs	s/next\.revision\.number == 0 \|\| next\.revision < self\.revision/next.revision.number == 0/	-p rosemaryusher-core --test evacuate_again late_list
 epoch-evacuation-dropped	crates/core/src/stream/evacuation.rs	s/self\.kept = before;/drop(before);/	-p rosemaryusher-core --test epoch_evacuation_kept written_again
 epoch-evacuation-for-ever	crates/core/src/stream/evacuation.rs	s/const HOLD_MS: u64 = 30_000/const HOLD_MS: u64 = 30_000_000/	-p rosemaryusher-core --test epoch_evacuation_kept given_up
@@ -119,28 +119,28 @@
 epoch-overtaken-taken	crates/core/src/store_epoch.rs	s/=> EpochOutcome::Overtaken,/=> EpochOutcome::Unchanged,/	-p rosemaryusher-core --test epoch_order tracked_by_answers
 epoch-release-dropped	crates/node/src/release/restore.rs	s/_ => HeadFate::Lost,/_ => HeadFate::Replaced,/	-p rosemaryusher-node --test epoch_release_kept
 epoch-announced-once	crates/node/src/stream/announce.rs	s/is_overtaken\(hub, announced\)\)/false \&\& is_overtaken(hub, announced))/	-p rosemaryusher-platform --test epoch_announcement_again
-lost-before-answer	crates/core/src/stream/balancer/routing.rs	s/if !self\.board\.is_fresh\(agent, now\) =>/if false =>/	-p rosemaryusher-core --test stream_search lost_before_answer
+lost-before-answer	crates/core/src/stream/balancer/routing.rs	s/if !self\.table\.is_fresh\(agent, now\) =>/if false =>/	-p rosemaryusher-core --test stream_search lost_before_answer
 waiting-never-sure	crates/core/src/stream/waiting.rs	s/pace\.work_ms > 0 && answered_ms <= limit_ms/false \&\& answered_ms <= limit_ms/	-p rosemaryusher-core --test stream_room burst_waits
 evacuation-unknown-placed	crates/core/src/stream/balancer/evacuations.rs	s/is_unknown && now\.since\(self\.started\) < KNOWLEDGE_WAIT_MS/false \&\& is_unknown \&\& now.since(self.started) < KNOWLEDGE_WAIT_MS/	-p rosemaryusher-core --test evacuate_restart known_before_first
 evacuation-waits-for-ever	crates/core/src/stream/balancer/evacuations.rs	s/const KNOWLEDGE_WAIT_MS: u64 = 1_000/const KNOWLEDGE_WAIT_MS: u64 = 100_000/	-p rosemaryusher-core --test evacuate_restart nobody_can_tell
 evacuation-untold	crates/core/src/stream/balancer/neighbours.rs	s/self\.take_evacuations\(&report\.evacuations, now, actions\);//	-p rosemaryusher-core --test evacuate_restart told_by_another
-evacuations-unguarded	crates/core/src/stream/board.rs crates/core/src/stream/agent/admission.rs	s/is_open && self\.exclusion\(known, needs\)\.is_none\(\)/is_open/;s/_ if self\.evacuations\.covers\(self\.config\.data_centre\) => \{/_ if false => {/	-p rosemaryusher-core --test stream_fuzz evacuations_hold
+evacuations-unguarded	crates/core/src/stream/agent_table.rs crates/core/src/stream/agent/admission.rs	s/is_open && self\.exclusion\(known, needs\)\.is_none\(\)/is_open/;s/_ if self\.evacuations\.covers\(self\.config\.data_centre\) => \{/_ if false => {/	-p rosemaryusher-core --test stream_fuzz evacuations_hold
 empty-watch-moves-on	platform/src/store.rs	s/Some\(changes\) if changes\.events\.is_empty\(\) => return Ok\(None\),/Some(changes) if changes.events.is_empty() => { self.revision.set(Some(self.store.epochs.revision(changes.current_rev))); return Ok(None) }/	-p rosemaryusher-platform --test evacuated_zones missed_change
 cold-rate-unlimited	crates/core/src/stream/agent/admission.rs	s/self\.held\.busy\(\) >= limit \|\| self\.is_spent\(now\)/self.held.busy() >= limit/	-p rosemaryusher-core --test cold_rate others_take_over
 cold-share-untold	crates/core/src/stream/agent/mod.rs	s/if self\.is_spent\(now\) \{ slots \} else \{ 0 \}/if self.is_spent(now) { 0 } else { 0 }/	-p rosemaryusher-core --test cold_rate others_take_over
 cold-return-trusted	crates/core/src/stream/agent/neighbours.rs	s/self\.slow_start\.doubt\(&rules, now\);/let _ = rules;/	-p rosemaryusher-core --test cold_rate taken_back_cold
-home-not-kept	crates/core/src/stream/board.rs	s/\(\) if !needs\.regions\.is_empty\(\) && !is_allowed\(\) => Some\(PlaceExclusion::OtherRegion\),/() if !needs.regions.is_empty() \&\& !is_allowed() => None,/	-p rosemaryusher-core --test homes_kept home_alone
+home-not-kept	crates/core/src/stream/agent_table.rs	s/\(\) if !needs\.regions\.is_empty\(\) && !is_allowed\(\) => Some\(PlaceExclusion::OtherRegion\),/() if !needs.regions.is_empty() \&\& !is_allowed() => None,/	-p rosemaryusher-core --test homes_kept home_alone
 home-taken-anyway	crates/core/src/stream/agent/admission.rs	s/_ if !self\.is_allowed_here\(key\) => /_ if false \&\& !self.is_allowed_here(key) => /	-p rosemaryusher-core --test homes_kept agent_turns_away
 zone-lost-untold	crates/core/src/stream/balancer/routing.rs	s/Some\(\(agent, true, _\)\) if self\.is_lost\(agent\) => \{/Some((agent, true, _)) if false \&\& self.is_lost(agent) => {/	-p rosemaryusher-core --test zone_lost callers_told
-zone-lost-waited-for	crates/core/src/stream/board.rs	s/_ if is_in_lost => holders\.has_lost = true,/_ if false \&\& is_in_lost => holders.has_lost = true,/	-p rosemaryusher-core --test zone_lost moved_callers_told
+zone-lost-waited-for	crates/core/src/stream/agent_table.rs	s/_ if is_in_lost => holders\.has_lost = true,/_ if false \&\& is_in_lost => holders.has_lost = true,/	-p rosemaryusher-core --test zone_lost moved_callers_told
 zone-heard-by-others-ignored	crates/core/src/stream/balancer/centres.rs	s/Some\(\*centre\) != peer\.data_centre && !peer\.hears\.contains\(centre\)/Some(*centre) != peer.data_centre || !peer.hears.contains(centre)/	-p rosemaryusher-core --test zone_lost heard_by_another
 zone-lost-too-soon	crates/core/src/stream/balancer/centres.rs	s/const LOST_MS: u64 = 1_500/const LOST_MS: u64 = 1_000/	-p rosemaryusher-core --test zone_lost agents_restarted
-machine-gone-waited-for	crates/core/src/stream/board.rs	s/is_overdue \|\| \(known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)\)/is_overdue/	-p rosemaryusher-core --test stream_search machine_without_power
-machine-cut-taken-for-gone	crates/core/src/stream/board.rs	s/known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)/known.machine.is_gone(now)/	-p rosemaryusher-core --test stream_moves agent_unheard
-machine-start-unseen	crates/core/src/stream/agent/neighbours.rs	s/told\.map_or\(seen, \|told\| told\.min\(seen\)\)/told.map_or(seen, |_| seen)/	-p rosemaryusher-core --test stream_search starts_not_seen
-member-forgotten	crates/core/src/stream/board.rs	s/now\.since\(known\.last_seen\(\)\) <= KEPT_MS/now.since(known.heard) <= KEPT_MS/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
-unsubscribed-taken-as-lost	crates/core/src/stream/board.rs	s/None => \(known\.last_seen\(\), MENTION_TIMEOUT_MS \+ lost_ms\)/None => (known.heard, lost_ms)/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
-all-subscribed	crates/core/src/stream/board.rs	s/\.take\(2 \* limit\)//;s/responsive == limit/responsive == usize::MAX/	-p rosemaryusher-core --test stream_fleet messages_bounded
+machine-gone-waited-for	crates/core/src/stream/agent_table.rs	s/is_overdue \|\| \(known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)\)/is_overdue/	-p rosemaryusher-core --test stream_search machine_without_power
+machine-cut-taken-for-gone	crates/core/src/stream/agent_table.rs	s/known\.machine\.is_gone\(now\) && self\.is_after_power_loss\(now\)/known.machine.is_gone(now)/	-p rosemaryusher-core --test stream_moves agent_unheard
+machine-start-unseen	crates/core/src/stream/agent/neighbours.rs	s/reported\.map_or\(seen, \|reported\| reported\.min\(seen\)\)/reported.map_or(seen, |_| seen)/	-p rosemaryusher-core --test stream_search starts_not_seen
+member-forgotten	crates/core/src/stream/agent_table.rs	s/now\.since\(known\.last_seen\(\)\) <= KEPT_MS/now.since(known.last_report) <= KEPT_MS/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
+unsubscribed-taken-as-lost	crates/core/src/stream/agent_table.rs	s/None => \(known\.last_seen\(\), MENTION_TIMEOUT_MS \+ lost_ms\)/None => (known.last_report, lost_ms)/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
+all-subscribed	crates/core/src/stream/agent_table.rs	s/\.take\(2 \* limit\)//;s/responsive == limit/responsive == usize::MAX/	-p rosemaryusher-core --test stream_fleet messages_bounded
 all-neighbours	crates/core/src/stream/balancer/neighbours.rs	s/subset::neighbours\(self\.config\.address, peers, SUCCESSORS, DRAWN_PEERS\)/peers.collect()/	-p rosemaryusher-core --test stream_fleet messages_bounded
 members-in-one	crates/core/src/stream/balancer/neighbours.rs	s/members\.chunks\(message::MEMBERS_PER_MESSAGE\)/members.chunks(usize::MAX)/	-p rosemaryusher-wire --test member_parts arrives_whole
 TABLE
