--- a/crates/core/src/stream/agent_table.rs
+++ b/crates/core/src/stream/agent_table.rs
@@ -37,7 +37,7 @@
 const REPLACE_MS: u64 = 2_000;
 
 /// Agents of each service and of this balancer's own data centre that it subscribes to.
-const NEAR_AGENTS: usize = 20;
+const NEAR_AGENTS: usize = 18;
 
 /// Agents of each service and of all other data centres that it subscribes to: they are needed only
 /// where near ones are full or unreachable.
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use rand::RngExt as _;
 use rand::seq::IteratorRandom as _;
 
 use crate::ids;
@@ -30,6 +31,10 @@
 /// whether enough balancers before it watch the platform, also while two thirds are down.
 const SUCCESSORS: usize = 8;
 
+/// Of so many parts of the list of members, one goes to a balancer of any data centre and the others to
+/// near ones: bytes between data centres are paid for.
+const FAR_PARTS: u32 = 4;
+
 /// Other balancers drawn at random that get its reports.
 const DRAWN_PEERS: usize = 16;
 
@@ -162,14 +167,19 @@
         }
     }
 
-    /// Sends one other balancer, drawn at random, a part of the members that report to this one.
+    /// Sends one other balancer, drawn at random and most often a near one, a part of the members that
+    /// report to this one.
     ///
     /// Everyone who starts reads the platform's list; these parts carry what has changed since, all of
     /// it while the platform is away, and which members still run. Sent to one balancer at a time, news
     /// reaches twice as many with each interval.
     pub(super) fn pass_members_on(&mut self, actions: &mut Vec<stream::StreamAction>) {
-        let reachable = self.peers.iter().filter(|(_, peer)| peer.is_reachable);
-        let drawn = reachable.map(|(address, _)| *address).choose(&mut self.random);
+        let goes_far = self.random.random_range(0..FAR_PARTS) == 0;
+        let own = Some(self.config.data_centre);
+        let reachable = || self.peers.iter().filter(|(_, peer)| peer.is_reachable);
+        let near = reachable().filter(|(_, peer)| !goes_far && peer.data_centre == own);
+        let drawn = near.choose(&mut self.random).or_else(|| reachable().choose(&mut self.random));
+        let drawn = drawn.map(|(address, _)| *address);
         let part = self.reachable_members().into_iter().choose(&mut self.random);
         if let (Some(peer), Some(part)) = (drawn, part) {
             actions.push(stream::StreamAction::Send(peer, part));
--- a/crates/core/tests/stream_fleet.rs
+++ b/crates/core/tests/stream_fleet.rs
@@ -133,3 +133,17 @@
         assert_eq!(world.holders(key), vec![found]);
     }
 }
+
+/// Lists of members sent to any balancer alike: most of them would cross data centres, where bytes are
+/// paid for.
+#[test]
+fn parts_stay_near() {
+    let mut world = fleet(90, 210);
+    world.told.clear();
+    world.crossed.clear();
+    world.advance(4_000);
+    let sent = world.told.iter().filter(|((_, kind), _)| *kind == "members");
+    let sent: u64 = sent.map(|(_, count)| count).sum();
+    let crossed = world.crossed["members"];
+    assert!(4 * crossed <= sent, "{crossed} of {sent}");
+}
--- a/crates/core/tests/stream_world/delivery.rs
+++ b/crates/core/tests/stream_world/delivery.rs
@@ -97,6 +97,9 @@
         match action {
             stream::StreamAction::Send(to, message) => {
                 *self.told.entry((to, message.kind().label())).or_default() += 1;
+                if self.centre_of(address) != self.centre_of(to) {
+                    *self.crossed.entry(message.kind().label()).or_default() += 1;
+                }
                 self.post(DELAY_MS, Envelope::Message { from: address, to, message });
             }
             stream::StreamAction::Deliver(marks, bytes) => {
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -143,6 +143,8 @@
     pub(crate) has_births: bool,
     /// How many messages each process has been sent, by what they are for.
     pub(crate) told: collections::BTreeMap<(net::SocketAddrV4, &'static str), u64>,
+    /// How many messages have crossed data centres, by what they are for.
+    pub(crate) crossed: collections::BTreeMap<&'static str, u64>,
     runs: u64,
     written: Vec<oracle::WrittenSegment>,
 }
@@ -180,6 +182,7 @@
             sent: 0,
             has_births: true,
             told: collections::BTreeMap::new(),
+            crossed: collections::BTreeMap::new(),
             runs: 0,
             written: Vec::new(),
         }
