At a first start balancers look for watchers among themselves before they watch

Change: at a first start balancers may watch 2.5 s after their own start, by when they have read the list and exchanged reports.

--- a/crates/node/src/stream/follow.rs
+++ b/crates/node/src/stream/follow.rs
@@ -26,6 +26,11 @@
 /// report every 200.
 const PEER_CONFIG_MS: u64 = 500;
 
+/// How long a balancer of a fleet's first start waits before it may watch, in milliseconds: the list of
+/// members is read after a second, and the balancers then exchange some reports. Before these, each
+/// would take itself for one of the few that watch.
+const FIRST_WATCH_MS: u64 = 2_500;
+
 /// Whether this process asks the platform now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum FollowTurn {
@@ -95,7 +100,10 @@
 /// Follows the operators' configuration while this process is a watcher or no balancer reports to it.
 pub(crate) async fn follow_config(hub: rc::Rc<hub::StreamHub>) {
     match hub.service {
-        _ if hub.streams().first_start => drop(announce::await_balancer(&hub).await),
+        Some(_) if hub.streams().first_start => {
+            announce::await_balancer(&hub).await;
+        }
+        None if hub.streams().first_start => pauses::sleep_ms(FIRST_WATCH_MS).await,
         Some(_) => pauses::sleep_ms(PEER_CONFIG_MS).await,
         None => {}
     }
