Balancers report to neighbours that were seen lately, and the rest is tested

Cause: found by the new test three_watch. With two thirds of 90 balancers down, 8 of the remaining 29 took themselves for watchers, as the eight that they hear of in the common order were mostly down.

Change: neighbours are chosen among balancers seen in the last ten seconds, so that those left report to each other.

Measured: three watchers in the test world, before and after the loss of the three, and 15 s after the loss of two thirds. agent_subscriptions holds what is kept of agents outside the subscriptions and that failed ones are replaced.

--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -43,6 +43,10 @@
 /// watched the platform and is lost must soon have a successor.
 const PEER_REPORT_MS: u64 = 400;
 
+/// How long another balancer may be unmentioned before it is sent a report, which it answers, in
+/// milliseconds; several times what mentions take to come round.
+const MENTION_TIMEOUT_MS: u64 = 10_000;
+
 #[derive(Clone, Debug)]
 struct PeerBalancer {
     /// Its data centre, once it is known.
@@ -64,6 +68,10 @@
     fn last_seen(&self) -> ids::UnixMillis {
         self.last_report.max(self.mentioned)
     }
+
+    fn is_seen(&self, now: ids::UnixMillis) -> bool {
+        now.since(self.last_seen()) < MENTION_TIMEOUT_MS
+    }
 }
 
 /// What one balancer decides of streams.
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -20,15 +20,11 @@
 /// How long a balancer that nobody receives reports from is remembered, in milliseconds.
 const KEPT_MS: u64 = 30_000;
 
-/// How long another balancer may be unmentioned before it is sent a report, which it answers, in
-/// milliseconds; several times what mentions take to come round.
-const MENTION_TIMEOUT_MS: u64 = 10_000;
-
 /// Between two such reports to the same balancer, in milliseconds.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
-/// Balancers that follow this one in the common order and get its reports. Each knows from them
-/// whether enough balancers before it watch the platform, also while two thirds are down.
+/// Balancers that follow this one in the common order and get its reports. Each knows from these
+/// whether enough balancers before it watch the platform.
 const SUCCESSORS: usize = 8;
 
 /// Of so many parts of the list of members, one goes to a balancer of any data centre and the others to
@@ -181,10 +177,7 @@
     ) {
         let goes_far = self.random.random_range(0..FAR_PARTS) == 0;
         let own = Some(self.config.data_centre);
-        let is_seen = |peer: &balancer::PeerBalancer| {
-            now.since(peer.last_seen()) < MENTION_TIMEOUT_MS && !peer.is_leaving
-        };
-        let seen = || self.peers.iter().filter(|(_, peer)| is_seen(peer));
+        let seen = || self.peers.iter().filter(|(_, peer)| peer.is_seen(now) && !peer.is_leaving);
         let near = seen().filter(|(_, peer)| !goes_far && peer.data_centre == own);
         let drawn = near.choose(&mut self.random).or_else(|| seen().choose(&mut self.random));
         let drawn = drawn.map(|(address, _)| *address);
@@ -251,7 +244,7 @@
         }
         if now.since(self.last_peer_report) >= self.report_period_ms(balancer::PEER_REPORT_MS) {
             self.last_peer_report = now;
-            let peers = self.neighbours().into_iter();
+            let peers = self.neighbours(now).into_iter();
             actions.extend(peers.map(|peer| stream::StreamAction::Send(peer, report.clone())));
         }
         self.request_unmentioned(now, actions);
@@ -268,17 +261,19 @@
             actions.push(stream::StreamAction::Send(agent, request.clone()));
         }
         for (address, peer) in &mut self.peers {
-            let is_unseen = now.since(peer.last_seen()) >= MENTION_TIMEOUT_MS;
-            if is_unseen && now.since(peer.requested) >= REQUEST_INTERVAL_MS {
+            if !peer.is_seen(now) && now.since(peer.requested) >= REQUEST_INTERVAL_MS {
                 peer.requested = now;
                 actions.push(stream::StreamAction::Send(*address, request.clone()));
             }
         }
     }
 
-    fn neighbours(&self) -> Vec<net::SocketAddrV4> {
-        let peers = self.peers.keys().copied();
-        subset::neighbours(self.config.address, peers, SUCCESSORS, DRAWN_PEERS)
+    /// The balancers that get this one's reports, of those that were seen lately: one that is down is
+    /// replaced by the next.
+    fn neighbours(&self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        let seen = self.peers.iter().filter(|(_, peer)| peer.is_seen(now));
+        let seen = seen.map(|(address, _)| *address);
+        subset::neighbours(self.config.address, seen, SUCCESSORS, DRAWN_PEERS)
     }
 
     fn report_period_ms(&self, most: u64) -> u64 {
--- a/crates/core/tests/stream_fleet.rs
+++ b/crates/core/tests/stream_fleet.rs
@@ -5,6 +5,7 @@
 use std::collections;
 
 use rosemaryusher_core::ids;
+use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::note;
 
 use stream_world as world;
@@ -167,3 +168,35 @@
     let timeouts = changes(&world) - before;
     assert!(timeouts <= 80, "{timeouts} timeouts");
 }
+
+/// A balancer that receives reports from a part of the others takes itself for one of the three that
+/// watch the platform, or leaves it to three that are down: calls that grow with the fleet, or a change
+/// that nobody sees.
+#[test]
+fn three_watch() {
+    let mut world = fleet(90, 210);
+    let watchers = |world: &world::StreamWorld| -> Vec<_> {
+        let watching = world.balancers.iter().filter(|(_, balancer)| balancer.is_watcher(3));
+        watching.map(|(address, _)| *address).collect()
+    };
+    let all: Vec<_> = world.balancers.keys().copied().collect();
+    for address in all {
+        world.handle(address, stream::StreamEvent::Platform(true));
+    }
+    world.advance(1_000);
+    let first = watchers(&world);
+    assert_eq!(first.len(), 3);
+    for address in &first {
+        world.balancers.remove(address);
+    }
+    world.advance(3_000);
+    let next = watchers(&world);
+    assert_eq!(next.len(), 3);
+    let third: Vec<_> = world.balancers.keys().copied().step_by(3).collect();
+    world.balancers.retain(|address, _| third.contains(address));
+    world.advance(3_000);
+    assert!(watchers(&world).len() >= 3);
+    // By then the others are known to be down, and those left report to each other.
+    world.advance(12_000);
+    assert_eq!(watchers(&world).len(), 3);
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -141,8 +141,13 @@
 member-forgotten	crates/core/src/stream/agent_table.rs	s/now\.since\(known\.last_seen\(\)\) <= KEPT_MS/now.since(known.last_report) <= KEPT_MS/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
 unsubscribed-taken-as-lost	crates/core/src/stream/agent_table.rs	s/None => \(known\.last_seen\(\), MENTION_TIMEOUT_MS \+ lost_ms\)/None => (known.last_report, lost_ms)/	-p rosemaryusher-core --test stream_fleet unsubscribed_agents_known
 all-subscribed	crates/core/src/stream/agent_table.rs	s/\.take\(2 \* limit\)//;s/responsive == limit/responsive == usize::MAX/	-p rosemaryusher-core --test stream_fleet messages_bounded
-all-neighbours	crates/core/src/stream/balancer/neighbours.rs	s/subset::neighbours\(self\.config\.address, peers, SUCCESSORS, DRAWN_PEERS\)/peers.collect()/	-p rosemaryusher-core --test stream_fleet messages_bounded
+all-neighbours	crates/core/src/stream/balancer/neighbours.rs	s/subset::neighbours\(self\.config\.address, seen, SUCCESSORS, DRAWN_PEERS\)/seen.collect()/	-p rosemaryusher-core --test stream_fleet messages_bounded
 members-in-one	crates/core/src/stream/balancer/neighbours.rs	s/members\.chunks\(message::MEMBERS_PER_MESSAGE\)/members.chunks(usize::MAX)/	-p rosemaryusher-wire --test member_parts arrives_whole
+old-report-kept	crates/core/src/stream/agent_table.rs	s/false => known\.report = None,/false => {}/	-p rosemaryusher-core --test agent_subscriptions old_report_dropped
+failed-not-replaced	crates/core/src/stream/agent_table.rs	s/responsive \+= usize::from\(!is_unresponsive\)/responsive += 1/	-p rosemaryusher-core --test agent_subscriptions failed_ones_replaced
+no-successors	crates/core/src/stream/balancer/neighbours.rs	s/const SUCCESSORS: usize = 8/const SUCCESSORS: usize = 0/	-p rosemaryusher-core --test stream_fleet three_watch
+unseen-neighbours-kept	crates/core/src/stream/balancer/neighbours.rs	s/let seen = self\.peers\.iter\(\)\.filter\(\|\(_, peer\)\| peer\.is_seen\(now\)\);/let seen = self.peers.iter();/	-p rosemaryusher-core --test stream_fleet three_watch
+parts-to-reporters	crates/core/src/stream/balancer/neighbours.rs	s/peer\.is_seen\(now\) && !peer\.is_leaving/peer.is_reachable/	-p rosemaryusher-core --test stream_fleet requests_are_few
 TABLE
 }
 
