--- a/crates/core/src/stream/agent_table.rs
+++ b/crates/core/src/stream/agent_table.rs
@@ -87,7 +87,8 @@
         self.last_report.max(self.machine.last_mention())
     }
 
-    fn is_subscribed(&self) -> bool {
+    /// Whether this balancer subscribes to its reports.
+    pub fn is_subscribed(&self) -> bool {
         self.subscribed.is_some()
     }
 
--- a/crates/node/src/stream/role.rs
+++ b/crates/node/src/stream/role.rs
@@ -127,7 +127,8 @@
         let report = known.and_then(|known| known.report.as_ref());
         serde_json::json!({
             "address": address,
-            "unheard_ms": known.map(|known| now.since(known.last_report)),
+            "is_subscribed": known.is_some_and(|known| known.is_subscribed()),
+            "report_age_ms": known.map(|known| now.since(known.last_report)),
             "report": report,
         })
     });
