--- /dev/null
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -0,0 +1,266 @@
+//! What one balancer knows of every agent.
+//!
+//! | module | holds |
+//! |---|---|
+//! | [`liveness`] | which agents may still hold streams |
+//! | [`placement`] | which agent a new stream goes to |
+//! | [`subscriptions`] | which agents report to this balancer |
+
+pub mod liveness;
+pub mod placement;
+pub mod subscriptions;
+
+use std::collections;
+use std::net;
+
+use crate::ids;
+use crate::load;
+use crate::stream;
+use crate::stream::evacuation;
+use crate::stream::host;
+use crate::stream::machine;
+use crate::stream::message;
+use crate::stream::policy;
+
+/// How long a subscribed agent may take to report before another one is drawn in its place, in
+/// milliseconds.
+const REPLACE_MS: u64 = 2_000;
+
+/// What is known of one agent.
+#[derive(Clone, Debug)]
+pub struct KnownAgent {
+    /// Its last report; `None` if it is outside the subscriptions, or has not reported yet.
+    pub report: Option<message::AgentReport>,
+    /// The service of its backend server, once announced, reported or mentioned.
+    pub service: Option<ids::ServiceId>,
+    /// Its data centre, once announced, reported or mentioned.
+    pub data_centre: Option<u32>,
+    /// When this balancer subscribed to its reports, if it does.
+    subscribed: Option<ids::UnixMillis>,
+    /// When it was last asked for a single report.
+    requested: ids::UnixMillis,
+    /// When its last report or load arrived; before that, when it became known.
+    pub last_report: ids::UnixMillis,
+    /// Whether its last report was within the timeout at the last sweep.
+    pub is_reachable: bool,
+    /// Openings sent there since its last report.
+    pub(super) sent_since: u32,
+    machine: machine::MachineLiveness,
+}
+
+impl KnownAgent {
+    fn is_in(&self, data_centre: u32) -> bool {
+        self.data_centre == Some(data_centre)
+    }
+
+    /// When it was last known to run, by its own messages or by another balancer's.
+    fn last_seen(&self) -> ids::UnixMillis {
+        self.last_report.max(self.machine.last_mention())
+    }
+
+    /// Whether this balancer subscribes to its reports.
+    pub fn is_subscribed(&self) -> bool {
+        self.subscribed.is_some()
+    }
+
+    /// Whether it does not report although it was subscribed to long ago.
+    fn is_unresponsive(&self, now: ids::UnixMillis) -> bool {
+        self.subscribed.is_some_and(|since| now.since(since.max(self.last_report)) > REPLACE_MS)
+    }
+}
+
+/// Every agent that one balancer knows.
+#[derive(Debug, Default)]
+pub struct AgentTable {
+    agents: collections::BTreeMap<net::SocketAddrV4, KnownAgent>,
+    data_centre: u32,
+    /// The region of each data centre.
+    regions: collections::BTreeMap<u32, u32>,
+    /// Data centres that get no new streams.
+    evacuated: collections::BTreeSet<u32>,
+    policy: policy::StreamPolicy,
+    started: ids::UnixMillis,
+    /// This balancer's address.
+    own: Option<net::SocketAddrV4>,
+    /// When subscriptions were last drawn; `None` if members have changed since.
+    drawn: Option<ids::UnixMillis>,
+    /// When reports from a majority of agents last resumed.
+    in_contact: ids::UnixMillis,
+}
+
+impl AgentTable {
+    /// An empty table for a balancer.
+    pub fn new(config: &stream::StreamConfig, now: ids::UnixMillis) -> AgentTable {
+        AgentTable {
+            data_centre: config.data_centre,
+            regions: config.regions.clone(),
+            policy: config.policy,
+            started: now,
+            own: Some(config.address),
+            ..AgentTable::default()
+        }
+    }
+
+    /// Applies a report; returns whether the state of a subscribed agent has changed.
+    pub fn on_report(
+        &mut self,
+        from: net::SocketAddrV4,
+        report: &message::AgentReport,
+        now: ids::UnixMillis,
+    ) -> bool {
+        let drawn = &mut self.drawn;
+        let known = self.agents.entry(from).or_insert_with(|| {
+            *drawn = None;
+            unreported(now)
+        });
+        let is_late = known.report.as_ref().is_some_and(|held| {
+            held.agent == report.agent && held.load.sequence > report.load.sequence
+        });
+        if is_late {
+            return false;
+        }
+        let is_same = known
+            .report
+            .as_ref()
+            .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
+        let is_news = known.is_subscribed() && (!is_same || !known.is_reachable);
+        if known.service != Some(report.service) || known.data_centre != Some(report.data_centre) {
+            self.drawn = None;
+        }
+        *known = KnownAgent {
+            report: Some(report.clone()),
+            service: Some(report.service),
+            data_centre: Some(report.data_centre),
+            is_reachable: true,
+            subscribed: known.subscribed,
+            requested: known.requested,
+            ..unreported(now)
+        };
+        is_news
+    }
+
+    /// Applies the load that another message carries.
+    pub fn apply_load(
+        &mut self,
+        from: net::SocketAddrV4,
+        load: load::LoadReport,
+        now: ids::UnixMillis,
+    ) {
+        let Some(known) = self.agents.get_mut(&from) else { return };
+        let Some(report) = known.report.as_mut() else { return };
+        if load.sequence >= report.load.sequence {
+            report.load = load;
+            known.sent_since = 0;
+            known.last_report = now;
+        }
+    }
+
+    /// Records that an agent takes no new streams, until its next report.
+    pub fn note_refusal(&mut self, agent: net::SocketAddrV4, phase: host::HostPhase) {
+        let known = self.agents.get_mut(&agent).and_then(|known| known.report.as_mut());
+        if let Some(report) = known {
+            report.phase = phase;
+        }
+    }
+
+    /// Records an opening that was sent.
+    pub fn note_sent(&mut self, agent: net::SocketAddrV4) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.sent_since += 1;
+        }
+    }
+
+    /// Sets which data centres get no new streams.
+    pub fn evacuate(&mut self, evacuations: &evacuation::EvacuationBelief) {
+        self.evacuated = evacuations.hashes().collect();
+    }
+
+    /// Inserts an agent that is announced on the platform or that another balancer mentions.
+    pub fn insert(
+        &mut self,
+        agent: net::SocketAddrV4,
+        service: ids::ServiceId,
+        data_centre: Option<u32>,
+        now: ids::UnixMillis,
+    ) {
+        let known = self.agents.entry(agent).or_insert_with(|| unreported(now));
+        if known.service.is_none() || known.data_centre.is_none() {
+            known.service = known.service.or(Some(service));
+            known.data_centre = known.data_centre.or(data_centre);
+            self.drawn = None;
+        }
+    }
+
+    /// Records that another balancer mentioned an agent as reachable.
+    pub fn on_mention(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.machine.on_mention(now);
+        }
+    }
+}
+
+impl AgentTable {
+    /// What is known of one agent.
+    pub fn get(&self, agent: net::SocketAddrV4) -> Option<&KnownAgent> {
+        self.agents.get(&agent)
+    }
+
+    /// Every agent that may be there.
+    pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        self.agents.keys().copied()
+    }
+
+    /// Where reachable agents take messages.
+    pub fn reachable(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        self.agents.iter().filter(|(_, known)| known.is_reachable).map(|(address, _)| *address)
+    }
+
+    /// Reachable agents, as they are mentioned to other balancers.
+    pub fn reachable_members(&self) -> impl Iterator<Item = stream::AnnouncedMember> {
+        let reachable = self.agents.iter().filter(|(_, known)| known.is_reachable);
+        reachable.map(|(address, known)| stream::AnnouncedMember {
+            address: *address,
+            service: Some(known.service.unwrap_or_default()),
+            data_centre: known.data_centre,
+        })
+    }
+
+    /// The data centres with any reachable agent.
+    pub fn reachable_centres(&self) -> impl Iterator<Item = u32> {
+        let reachable = self.agents.values().filter(|known| known.is_reachable);
+        reachable.filter_map(|known| known.report.as_ref().map(|report| report.data_centre))
+    }
+
+    /// How many agents that have reported are in a data centre.
+    pub fn agents_in(&self, data_centre: u32) -> usize {
+        let reported = self.agents.values().filter(|known| known.report.is_some());
+        reported.filter(|known| known.is_in(data_centre)).count()
+    }
+
+    /// Whether an agent reported lately enough for a new stream.
+    pub fn is_fresh(&self, agent: net::SocketAddrV4, now: ids::UnixMillis) -> bool {
+        self.agents.get(&agent).is_some_and(|known| self.is_reachable(known, now))
+    }
+
+    fn is_near(&self, known: &KnownAgent) -> bool {
+        known.is_in(self.data_centre)
+    }
+
+    fn is_reachable(&self, known: &KnownAgent, now: ids::UnixMillis) -> bool {
+        now.since(known.last_report) <= self.policy.reports.timeout_ms(self.is_near(known))
+    }
+}
+
+fn unreported(now: ids::UnixMillis) -> KnownAgent {
+    KnownAgent {
+        report: None,
+        service: None,
+        data_centre: None,
+        subscribed: None,
+        requested: ids::UnixMillis(0),
+        last_report: now,
+        is_reachable: false,
+        sent_since: 0,
+        machine: machine::MachineLiveness::default(),
+    }
+}
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -7,7 +7,7 @@
 
 use crate::ids;
 use crate::stream;
-use crate::stream::agent_table;
+use crate::stream::agent_table::subscriptions;
 use crate::stream::balancer;
 use crate::stream::message;
 use crate::stream::note;
@@ -151,7 +151,7 @@
         let near = self.peers.values().filter(|peer| peer.data_centre == Some(own));
         let near_balancers = near.count() + 1;
         let change = self.table.renew_subscriptions(near_balancers, now);
-        if change == agent_table::SubscriptionChange::default() {
+        if change == subscriptions::SubscriptionChange::default() {
             return;
         }
         let subscribe = self.own_report(now);
--- a/crates/core/src/stream/balancer/openings.rs
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -4,7 +4,7 @@
 
 use crate::ids;
 use crate::stream;
-use crate::stream::agent_table;
+use crate::stream::agent_table::placement;
 use crate::stream::balancer;
 use crate::stream::host;
 use crate::stream::message;
@@ -62,7 +62,7 @@
         }
         let state = self.state.clone();
         let regions = state.regions_at(net::SocketAddr::V4(key.entry));
-        let needs = agent_table::OpeningNeeds { service, regions };
+        let needs = placement::OpeningNeeds { service, regions };
         let Some(owner) = self.owners.touch(key) else { return };
         // An agent may have had it twice: for a free slot, and to queue.
         let passed = owner.queued.iter().filter(|agent| !owner.tried.contains(agent));
@@ -77,10 +77,10 @@
                 Some(choice) => (message::CarryKind::OpenQueued, choice),
                 None if owner.queued.is_empty() => match self.table.exclusion_of_all(needs, now) {
                     // Nothing that could be waited for takes it in time.
-                    Some(agent_table::PlaceExclusion::Evacuated) => {
+                    Some(placement::PlaceExclusion::Evacuated) => {
                         return self.reset(key, 0, note::ResetReason::Evacuated, actions);
                     }
-                    Some(agent_table::PlaceExclusion::OtherRegion) => {
+                    Some(placement::PlaceExclusion::OtherRegion) => {
                         return self.reset(key, 0, note::ResetReason::OtherRegion, actions);
                     }
                     None => return self.park(key, bytes, now, actions),
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -4,7 +4,7 @@
 
 use crate::ids;
 use crate::stream;
-use crate::stream::agent_table;
+use crate::stream::agent_table::liveness;
 use crate::stream::balancer;
 use crate::stream::lookup;
 use crate::stream::message;
@@ -88,7 +88,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let is_whole = self.knows_members;
-        let holders = agent_table::PossibleHolders {
+        let holders = liveness::PossibleHolders {
             is_whole,
             ..self.table.holders(service, &self.lost_centres, now)
         };
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -13,7 +13,7 @@
 use std::net;
 
 use crate::ids;
-use crate::stream::agent_table;
+use crate::stream::agent_table::liveness;
 use crate::stream::segment;
 
 /// How long agents may take to answer, in milliseconds: some round trips between data centres.
@@ -118,7 +118,7 @@
         &mut self,
         key: segment::StreamKey,
         service: Option<ids::ServiceId>,
-        holders: &agent_table::PossibleHolders,
+        holders: &liveness::PossibleHolders,
         segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
     ) -> WaitOutcome {
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -13,7 +13,7 @@
 //! | [`host`] | which run of the backend server is up, and whether it takes new streams |
 //! | [`held`] | the streams that one backend server holds, and the work in progress there |
 //! | [`agent`] | what one backend server is handed, and what it gives back |
-//! | [`agent_table`] | what one balancer knows of every agent, and its subscriptions |
+//! | [`agent_table`] | what one balancer knows of every agent |
 //! | [`machine`] | whether the machine of an agent that has not reported runs |
 //! | [`mean`] | the mean of the latest samples of something that changes |
 //! | [`note`] | what a decision tells the log |
