--- a/crates/core/src/stream/agent/neighbours.rs
+++ b/crates/core/src/stream/agent/neighbours.rs
@@ -18,10 +18,11 @@
 /// may be lost. While no balancer is reachable, it goes on.
 const INTRODUCTIONS: u32 = 2;
 
-/// Between two introductions to the same balancer, in milliseconds.
+/// Interval between introductions to the same balancer, in milliseconds.
 const INTRODUCTION_MS: u64 = 1_000;
 
 impl agent::StreamAgent {
+    /// Introduces this agent to balancers that are announced or named in the settings.
     pub(super) fn discover(
         &mut self,
         balancers: &[net::SocketAddrV4],
@@ -45,6 +46,7 @@
         if report.wants_reports {
             self.add_subscriber(from, report, now, actions);
         } else {
+            // It knows this agent, and has others to place streams at.
             self.balancers.remove(&from);
             let report = self.own_report(now);
             actions.push(stream::StreamAction::Send(from, report));
--- a/crates/core/src/stream/agent_table/subscriptions.rs
+++ b/crates/core/src/stream/agent_table/subscriptions.rs
@@ -11,7 +11,7 @@
 /// milliseconds; several times what mentions take to come round.
 pub(super) const MENTION_TIMEOUT_MS: u64 = 10_000;
 
-/// Between two such requests to the same agent, in milliseconds.
+/// Interval between such requests to the same agent, in milliseconds.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
 /// Interval at which the draw of subscriptions is renewed, in milliseconds, so that agents that have
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -20,7 +20,7 @@
 /// How long a balancer that nobody receives reports from is remembered, in milliseconds.
 const KEPT_MS: u64 = 30_000;
 
-/// Between two such reports to the same balancer, in milliseconds.
+/// Interval between requests for a report from a balancer that nobody has mentioned, in milliseconds.
 const REQUEST_INTERVAL_MS: u64 = 1_000;
 
 /// Balancers that follow this one in the common order and get its reports. Each knows from these
@@ -35,6 +35,7 @@
 const DRAWN_PEERS: usize = 16;
 
 impl balancer::StreamBalancer {
+    /// Merges the platform's list of members.
     pub(super) fn take_members(
         &mut self,
         members: &[stream::AnnouncedMember],
@@ -187,6 +188,7 @@
         }
     }
 
+    /// Inserts a balancer that is announced, mentioned or named in the settings.
     pub(super) fn discover(&mut self, balancer: net::SocketAddrV4, now: ids::UnixMillis) {
         if balancer != self.config.address {
             self.peers.entry(balancer).or_insert(balancer::PeerBalancer {
@@ -285,7 +287,7 @@
         message::StreamMessage::Balancer(self.balancer_report(true, now))
     }
 
-    /// A report to an agent outside the subscriptions, which answers it once.
+    /// A report that its receiver answers once, and that ends a subscription.
     fn request_report(&self, now: ids::UnixMillis) -> message::StreamMessage {
         message::StreamMessage::Balancer(self.balancer_report(false, now))
     }
