Comments and one local on the store's epoch in the field's terms; a comment put right

Cause: a rename of a variable had also changed a word in the comment on LEAVE_POLL_MS, and the epoch's module still spoke of answers that tell. Comments and the name of one parameter change, nothing that the programs do.

--- a/crates/core/src/store_epoch.rs
+++ b/crates/core/src/store_epoch.rs
@@ -62,7 +62,7 @@
 
     /// The epoch and the number in one word that is ordered as they are.
     ///
-    /// Of a store that tells no epoch it is the number itself.
+    /// Of a store that reports no epoch it is the number itself.
     pub fn packed(self) -> u64 {
         self.epoch.0 << NUMBER_BITS | (self.number & ((1 << NUMBER_BITS) - 1))
     }
@@ -74,7 +74,7 @@
     }
 }
 
-/// What an answer of the store tells by its epoch.
+/// What the epoch of an answer shows of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EpochOutcome {
     /// The store is the one that answered before.
@@ -98,19 +98,19 @@
 }
 
 impl EpochTracker {
-    /// Takes in the epoch that an answer tells, if it tells one.
+    /// Applies the epoch that an answer reports, if any.
     ///
     /// An answer without one says nothing: a relay in front of the store may have refused the call.
-    pub fn note(&mut self, told: Option<StoreEpoch>) -> EpochOutcome {
-        match (self.known, told) {
+    pub fn note(&mut self, reported: Option<StoreEpoch>) -> EpochOutcome {
+        match (self.known, reported) {
             (_, None) => EpochOutcome::Unchanged,
-            (Some(known), Some(told)) if told < known => EpochOutcome::Overtaken,
-            (Some(known), Some(told)) if told > known => {
-                self.known = Some(told);
-                EpochOutcome::Restored { from: known, to: told }
+            (Some(known), Some(reported)) if reported < known => EpochOutcome::Overtaken,
+            (Some(known), Some(reported)) if reported > known => {
+                self.known = Some(reported);
+                EpochOutcome::Restored { from: known, to: reported }
             }
-            (_, Some(told)) => {
-                self.known = Some(told);
+            (_, Some(reported)) => {
+                self.known = Some(reported);
                 EpochOutcome::Unchanged
             }
         }
@@ -118,7 +118,7 @@
 }
 
 impl EpochTracker {
-    /// The epoch of the last answer that told one; zero before any.
+    /// The epoch of the last answer that reported one; zero before any.
     pub fn epoch(&self) -> StoreEpoch {
         self.known.unwrap_or_default()
     }
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -45,7 +45,7 @@
 /// is for the last lines of its log on a slow machine.
 const GRACE_MARGIN_MS: u64 = 1_500;
 
-/// How often a process on its way out machines whether it may go, in milliseconds.
+/// How often a process on its way out checks whether it may end, in milliseconds.
 const LEAVE_POLL_MS: u64 = 50;
 
 /// After so long without a segment none is under way any more, in milliseconds.
