An agent delivers only to a backend server of its own service

Cause: an agent started with the settings of the address's former use took any report whose service was in the configuration. HostReport::check compares with both; nothing after it compared with the agent's own service, so the agent told balancers that a backend server of its service serves there. An agent that was kept while its address was reused did the same until its former backend server had missed three reports.

Change: HostState decides on reports of another service. A later run stops all deliveries until the next own report; if it reports for more than three periods while the own run is silent, the own run is over and its streams are reset, so that callers retry before their deadline. An earlier run is taken for a delayed report. The report is answered with 400 and a reason, and logged as other_service; a segment that is not delivered is logged as withheld.

--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -50,6 +50,13 @@
                     self.return_message(message::ReturnReason::NotHeld, segment.bytes, now);
                 actions.push(stream::StreamAction::Send(from, message));
             }
+            // Which backend server uses the address is known after a report period; the caller
+            // retransmits.
+            false if self.host.is_displaced() => {
+                actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::Withheld {
+                    stream: key,
+                }));
+            }
             // The caller accepted another backend server's answer to a retransmitted opening.
             // Delivered here, the segment would be lost, and the duplicate would count as load.
             false if self.is_half_open_duplicate(key, segment.head.acknowledged) => {
--- a/crates/core/src/stream/agent/host_events.rs
+++ b/crates/core/src/stream/agent/host_events.rs
@@ -28,6 +28,9 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        if !report.is_of(self.config.service) {
+            return self.on_other_service_report(report, now, actions);
+        }
         let is_first_heard = self.host.run().is_none();
         let outcome = self.host.on_report(report, self.config.host_report_ms, now);
         if outcome != host::ReportOutcome::Stale {
@@ -36,14 +39,7 @@
         let mut reset = 0;
         match outcome {
             host::ReportOutcome::Unchanged => return,
-            host::ReportOutcome::Stale => {
-                actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::StaleReport {
-                    run: report.run.id.clone(),
-                    born: report.run.born,
-                    sequence: report.sequence,
-                }));
-                return;
-            }
+            host::ReportOutcome::Stale => return log_stale_report(report, actions),
             host::ReportOutcome::Changed
                 if is_first_heard && self.is_first_report_of_run(report) =>
             {
@@ -77,6 +73,37 @@
         self.report_to_all(now, actions);
     }
 
+    /// Handles a report from a backend server of another service, which uses the address of this
+    /// agent's one.
+    ///
+    /// Callers of this agent's service must not reach it, and the streams of a run that it has
+    /// displaced are reset, so that their callers can retry before their deadline.
+    fn on_other_service_report(
+        &mut self,
+        report: &report::HostReport,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let outcome = self.host.on_other_service_report(report, self.config.host_report_ms, now);
+        let is_over = outcome == host::OtherServiceOutcome::Displaced;
+        match outcome {
+            host::OtherServiceOutcome::Ignored => return log_stale_report(report, actions),
+            host::OtherServiceOutcome::Doubted { is_first: false } => return,
+            host::OtherServiceOutcome::Doubted { is_first: true }
+            | host::OtherServiceOutcome::Displaced => {}
+        }
+        actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::OtherService {
+            run: report.run.id.clone(),
+            born: report.run.born,
+            service: report.service.clone(),
+            is_over,
+        }));
+        match is_over {
+            true => self.end_unannounced_run(now, actions),
+            false => self.report_to_all(now, actions),
+        }
+    }
+
     /// Whether this is the first report of a run that started no earlier than this agent, so that
     /// no earlier run of the agent has delivered anything to it.
     ///
@@ -121,9 +148,17 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if !self.host.on_port_closed() {
-            return;
+        if self.host.on_port_closed() {
+            self.end_unannounced_run(now, actions);
         }
+    }
+
+    /// Ends a run that is over without a sign-off.
+    fn end_unannounced_run(
+        &mut self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
         // The next run of the backend server gets all its streams through this run of the agent.
         self.has_seen_all_openings = true;
         self.end_host_run(now, actions);
@@ -271,3 +306,11 @@
         }
     }
 }
+
+fn log_stale_report(report: &report::HostReport, actions: &mut Vec<stream::StreamAction>) {
+    actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::StaleReport {
+        run: report.run.id.clone(),
+        born: report.run.born,
+        sequence: report.sequence,
+    }));
+}
--- a/crates/core/src/stream/host.rs
+++ b/crates/core/src/stream/host.rs
@@ -44,6 +44,21 @@
     Stale,
 }
 
+/// The outcome of a report from a backend server of another service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OtherServiceOutcome {
+    /// It is late or from an unrelated process, and was ignored.
+    Ignored,
+    /// It started after the known run, which may be over; no report of the known run has arrived
+    /// since.
+    Doubted {
+        /// Whether this is the first such report.
+        is_first: bool,
+    },
+    /// It has reported for several periods in which the known run has not, which is over.
+    Displaced,
+}
+
 /// The outcome of a backend server's sign-off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaveOutcome {
@@ -59,13 +74,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostState {
     known: Option<KnownRun>,
-    /// Nothing listened on the backend server's port, and no report has arrived since.
-    is_port_closed: bool,
+    /// Nothing listened on the backend server's port, or a backend server of another service uses
+    /// it, and no report has arrived since.
+    is_presumed_over: bool,
     /// A sign-off arrived that may be from an earlier run, and no report has arrived since.
     is_leave_unconfirmed: bool,
     /// Runs that are over, whose delayed reports are ignored.
     ended: Vec<report::HostRun>,
     competing: Option<CompetingRun>,
+    /// A run of another service that reports, while the known run has not reported since.
+    other_service: Option<CompetingRun>,
+    /// A run of another service started after the known run, which has not reported since.
+    is_displaced: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -78,7 +98,7 @@
     previous_report: ids::UnixMillis,
 }
 
-/// A run that reports although its start time is earlier than that of the known run.
+/// A run that reports while the known run is silent.
 #[derive(Clone, Debug)]
 struct CompetingRun {
     run: report::HostRun,
@@ -111,7 +131,10 @@
                 self.adopt_run(report, now);
                 ReportOutcome::Adopted
             }
-            Some(report::RunOrder::Earlier) if self.outlives_known(report, period_ms, now) => {
+            // The machine's clock was set back between the two starts.
+            Some(report::RunOrder::Earlier)
+                if keeps_reporting(&mut self.competing, report, period_ms, now) =>
+            {
                 self.adopt_run(report, now);
                 ReportOutcome::Adopted
             }
@@ -119,6 +142,35 @@
         }
     }
 
+    /// Processes a report from a backend server of another service.
+    ///
+    /// An address is reused while the agent still runs with the settings of its former use. A
+    /// delayed report of an earlier user of the address must not end the known run.
+    pub fn on_other_service_report(
+        &mut self,
+        report: &report::HostReport,
+        period_ms: u64,
+        now: ids::UnixMillis,
+    ) -> OtherServiceOutcome {
+        let order = self.known.as_ref().map(|known| report.run.compare(&known.report.run));
+        let is_later = match order {
+            _ if self.ended.contains(&report.run) => return OtherServiceOutcome::Ignored,
+            Some(report::RunOrder::Same | report::RunOrder::Foreign) => {
+                return OtherServiceOutcome::Ignored;
+            }
+            Some(report::RunOrder::Earlier) => false,
+            Some(report::RunOrder::Later | report::RunOrder::Unordered) | None => true,
+        };
+        let keeps_reporting = keeps_reporting(&mut self.other_service, report, period_ms, now);
+        let was_displaced = self.is_displaced;
+        self.is_displaced |= is_later || keeps_reporting;
+        match keeps_reporting && self.presume_over() {
+            true => OtherServiceOutcome::Displaced,
+            false if self.is_displaced => OtherServiceOutcome::Doubted { is_first: !was_displaced },
+            false => OtherServiceOutcome::Ignored,
+        }
+    }
+
     /// Processes the sign-off of a run.
     ///
     /// A sign-off without the start time of the known run may be a delayed one from an earlier run
@@ -145,8 +197,13 @@
     ///
     /// A later report shows that the run is alive after all.
     pub fn on_port_closed(&mut self) -> bool {
-        let is_change = !self.is_port_closed && self.known.as_ref().is_none_or(KnownRun::is_up);
-        self.is_port_closed |= is_change;
+        self.presume_over()
+    }
+
+    /// Records that the known run is over without a sign-off; returns whether its phase changed.
+    fn presume_over(&mut self) -> bool {
+        let is_change = !self.is_presumed_over && self.known.as_ref().is_none_or(KnownRun::is_up);
+        self.is_presumed_over |= is_change;
         is_change
     }
 
@@ -161,10 +218,12 @@
             return outcome;
         }
         self.competing = None;
+        self.other_service = None;
         let was_unconfirmed = std::mem::take(&mut self.is_leave_unconfirmed);
-        match std::mem::take(&mut self.is_port_closed) {
+        let was_displaced = std::mem::take(&mut self.is_displaced);
+        match std::mem::take(&mut self.is_presumed_over) {
             true => ReportOutcome::Returned,
-            false if was_unconfirmed => ReportOutcome::Changed,
+            false if was_unconfirmed || was_displaced => ReportOutcome::Changed,
             false => outcome,
         }
     }
@@ -186,39 +245,17 @@
     }
 
     fn adopt_run(&mut self, report: &report::HostReport, now: ids::UnixMillis) {
-        self.is_port_closed = false;
+        self.is_presumed_over = false;
         self.is_leave_unconfirmed = false;
+        self.is_displaced = false;
         self.competing = None;
+        self.other_service = None;
         let earlier = self.known.replace(KnownRun::first(report, now));
         if let Some(earlier) = earlier {
             self.record_ended(earlier.report.run);
         }
     }
 
-    /// Whether a run with an earlier start time keeps reporting while the known run is silent.
-    ///
-    /// This happens if the machine's clock was set back between the two starts. Delayed reports of a
-    /// dead run arrive in one burst rather than over several periods.
-    fn outlives_known(
-        &mut self,
-        report: &report::HostReport,
-        period_ms: u64,
-        now: ids::UnixMillis,
-    ) -> bool {
-        match &mut self.competing {
-            Some(competing) if competing.run == report.run => {
-                let rises = report.sequence > competing.sequence;
-                competing.sequence = competing.sequence.max(report.sequence);
-                rises && now.since(competing.since) > SILENT_PERIODS * period_ms
-            }
-            competing => {
-                let run = report.run.clone();
-                *competing = Some(CompetingRun { run, sequence: report.sequence, since: now });
-                false
-            }
-        }
-    }
-
     fn record_ended(&mut self, run: report::HostRun) {
         if self.ended.len() >= MAX_ENDED_RUNS {
             self.ended.remove(0);
@@ -271,6 +308,29 @@
     }
 }
 
+/// Whether a run has kept reporting for several periods in which the known run has been silent.
+///
+/// Delayed reports of a dead run arrive in one burst rather than over several periods.
+fn keeps_reporting(
+    competing: &mut Option<CompetingRun>,
+    report: &report::HostReport,
+    period_ms: u64,
+    now: ids::UnixMillis,
+) -> bool {
+    match competing {
+        Some(competing) if competing.run == report.run => {
+            let rises = report.sequence > competing.sequence;
+            competing.sequence = competing.sequence.max(report.sequence);
+            rises && now.since(competing.since) > SILENT_PERIODS * period_ms
+        }
+        competing => {
+            let run = report.run.clone();
+            *competing = Some(CompetingRun { run, sequence: report.sequence, since: now });
+            false
+        }
+    }
+}
+
 fn reported_phase(report: &report::HostReport) -> HostPhase {
     match report.is_draining {
         true => HostPhase::Draining,
@@ -284,9 +344,12 @@
     /// [`HostPhase::Unknown`] if a serving one is silent: it hangs, or its machine is down.
     pub fn phase(&self, period_ms: u64, now: ids::UnixMillis) -> HostPhase {
         match &self.known {
-            _ if self.is_port_closed => HostPhase::Gone,
+            _ if self.is_presumed_over => HostPhase::Gone,
             None => HostPhase::Unknown,
-            Some(known) if known.phase == HostPhase::Serving && self.is_leave_unconfirmed => {
+            Some(known)
+                if known.phase == HostPhase::Serving
+                    && (self.is_leave_unconfirmed || self.is_displaced) =>
+            {
                 HostPhase::Unknown
             }
             Some(known) if known.phase == HostPhase::Serving && known.is_silent(period_ms, now) => {
@@ -305,7 +368,12 @@
 
     /// Whether a run is known and not over.
     pub fn is_running(&self) -> bool {
-        !self.is_port_closed && self.known.as_ref().is_some_and(KnownRun::is_up)
+        !self.is_presumed_over && self.known.as_ref().is_some_and(KnownRun::is_up)
+    }
+
+    /// Whether a backend server of another service may use the address of the known run.
+    pub fn is_displaced(&self) -> bool {
+        self.is_displaced
     }
 
     /// The known run.
--- a/crates/core/src/stream/log_event.rs
+++ b/crates/core/src/stream/log_event.rs
@@ -167,6 +167,24 @@
         /// The sequence number of the report.
         sequence: u64,
     },
+    /// A backend server of another service reports at this agent's address.
+    OtherService {
+        /// The id of its run.
+        run: String,
+        /// The start time of the run, if reported.
+        born: Option<ids::UnixMillis>,
+        /// Its service.
+        service: String,
+        /// Whether the run of the agent's own service is therefore over.
+        is_over: bool,
+    },
+    /// A segment was dropped because its stream's backend server may have been replaced by one of
+    /// another service.
+    Withheld {
+        /// The stream.
+        #[serde(serialize_with = "as_text")]
+        stream: segment::StreamKey,
+    },
     /// A sign-off of the backend server may be from an earlier run, so its port is probed.
     LeaveDoubted {
         /// The id in the sign-off.
@@ -229,6 +247,7 @@
             StreamLogEvent::AgentChanged { .. }
                 | StreamLogEvent::HostChanged { .. }
                 | StreamLogEvent::StaleReport { .. }
+                | StreamLogEvent::OtherService { .. }
                 | StreamLogEvent::LeaveDoubted { .. }
                 | StreamLogEvent::BalancerChanged { .. }
                 | StreamLogEvent::CentreChanged { .. }
--- a/crates/core/src/stream/report.rs
+++ b/crates/core/src/stream/report.rs
@@ -117,6 +117,11 @@
 }
 
 impl HostReport {
+    /// Whether it is from a backend server of this service.
+    pub fn is_of(&self, service: ids::ServiceId) -> bool {
+        ids::ServiceId::of_name(&self.service) == service
+    }
+
     /// Checks a report to an agent whose backend server is of service `own`.
     ///
     /// A report from an unrelated process must not be taken for a new run, which would reset every
--- a/crates/node/src/stream/routes.rs
+++ b/crates/node/src/stream/routes.rs
@@ -37,11 +37,23 @@
     request: &http::ServerRequest,
 ) -> http::ServerResponse {
     let report = bodies::parse_report(id, &request.body, context.service, &context.state.borrow());
-    match report {
-        Ok(report) => context.send_input(packets::StreamInput::HostReport(report)).await,
+    let report = match report {
+        Ok(report) => report,
         Err(problem) => return reject(external_input::InputSource::Report, id, &problem),
+    };
+    let is_own = context.service.is_none_or(|service| report.is_of(service));
+    let service = report.service.clone();
+    context.send_input(packets::StreamInput::HostReport(report)).await;
+    match is_own {
+        true => http::ServerResponse::json(200, &serde_json::json!({})),
+        false => {
+            let problem = format!(
+                "service: is {service:?}, but this agent was started for another; start it again \
+                 with the settings of this backend server"
+            );
+            reject(external_input::InputSource::Report, id, &problem)
+        }
     }
-    http::ServerResponse::json(200, &serde_json::json!({}))
 }
 
 async fn handle_leave(
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -67,6 +67,9 @@
 stream-birth-ignored	crates/core/src/stream/report.rs	s/_ if self == known => RunOrder::Same/_ if self.id == known.id => RunOrder::Same/	-p rosemaryusher-core --test host_restarted restarted_under_same_id
 stream-earlier-birth-taken	crates/core/src/stream/report.rs	s/cmp::Ordering::Less \| cmp::Ordering::Equal => RunOrder::Earlier/cmp::Ordering::Less | cmp::Ordering::Equal => RunOrder::Later/	-p rosemaryusher-core --test host_restarted delayed_report_of_unknown_run
 stream-unborn-taken	crates/core/src/stream/report.rs	s/\(None, Some\(_\)\) => RunOrder::Foreign/(None, Some(_)) => RunOrder::Later/	-p rosemaryusher-core --test host_restarted foreign_report
+stream-other-service-taken	crates/core/src/stream/agent/host_events.rs	s/if !report\.is_of\(self\.config\.service\) \{/if false {/	-p rosemaryusher-core --test address_reused stale_settings
+stream-other-service-undoubted	crates/core/src/stream/host.rs	s/self\.is_displaced \|= is_later \|\| keeps_reporting;/self.is_displaced |= keeps_reporting;/	-p rosemaryusher-core --test address_reused agent_kept
+stream-earlier-service-displaces	crates/core/src/stream/host.rs	s/Some\(report::RunOrder::Earlier\) => false,/Some(report::RunOrder::Earlier) => true,/	-p rosemaryusher-core --test address_reused delayed_report
 stream-service-changes	crates/core/src/stream/host.rs	s/ \|\| report\.service != self\.report\.service//	-p rosemaryusher-core --test host_restarted foreign_report
 stream-first-word-trusted	crates/core/src/stream/host.rs	s/\.filter\(\|known\| known\.was_up\(period_ms\)\)/.filter(|_| period_ms > 0)/	-p rosemaryusher-core --test host_restarted delayed_report_first
 stream-clock-trusted	crates/core/src/stream/host.rs	s/rises && now\.since/false \&\& rises \&\& now.since/	-p rosemaryusher-core --test host_restarted clock_set_back
@@ -89,7 +92,7 @@
 stream-out-of-contact	crates/core/src/stream/agent_table/liveness.rs	s/if !self\.reaches_majority\(\) \{(\s+)self\.on_contact_lost/if false {$1self.on_contact_lost/	-p rosemaryusher-core --test stream_search contact_regained
 stream-gone-asked	crates/core/src/stream/agent_table/liveness.rs	s/Some\(host::HostPhase::Gone\) => \{\}//	-p rosemaryusher-core --test stream_search departed_agent_skipped
 stream-host-not-doubted	crates/core/src/stream/agent/host_events.rs	s/actions\.push\(stream::StreamAction::ProbeHost\);//	-p rosemaryusher-core --test host_stopped killed_during_request
-stream-vanished-for-good	crates/core/src/stream/host.rs	s/match std::mem::take\(&mut self\.is_port_closed\) \{/match self.is_port_closed {/	-p rosemaryusher-core --test host_stopped reopened_port_serves
+stream-vanished-for-good	crates/core/src/stream/host.rs	s/match std::mem::take\(&mut self\.is_presumed_over\) \{/match self.is_presumed_over {/	-p rosemaryusher-core --test host_stopped reopened_port_serves
 stream-vanished-proves	crates/core/src/stream/agent/host_events.rs	s/host::ReportOutcome::Returned => self\.has_seen_all_openings = false,/host::ReportOutcome::Returned => {}/	-p rosemaryusher-core --test host_stopped reopened_port_with_streams
 stream-searched-reset	crates/core/src/stream/host_streams.rs	s/if is_open && stream\.is_known\(\) \{/if is_open {/	-p rosemaryusher-core --test host_stopped probed_while_stopping
 stream-dead-end	crates/core/src/stream/agent/admission.rs	s/false if self\.phase\(now\) == host::HostPhase::Gone => \{/false if false => {/	-p rosemaryusher-core --test host_stopped retransmission_elsewhere
