Signals are handled before the settings are read, SIGHUP in every daemon

A process without streams was ended by any SIGHUP.

Cause: the handlers were installed after the settings had been read, and without streams after all threads had been started, for SIGTERM and SIGINT only. A signal before that has its default effect.

Change: node::signals::DaemonSignals, installed by both programs before the settings are read, and passed on to the daemon. Without streams SIGHUP is logged as having no effect.

Evidence: start_signals holds a process at the read of its settings with a named pipe and sends the signal there. On the programs of before all four tests fail (both with streams, both without); all pass now.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -16,7 +16,7 @@
 use rosemaryusher_node::meters;
 use rosemaryusher_node::panics;
 use rosemaryusher_node::rings;
-use rosemaryusher_node::shutdown;
+use rosemaryusher_node::signals;
 use rosemaryusher_node::threads;
 use smol::channel;
 
@@ -36,7 +36,10 @@
 /// # Errors
 ///
 /// Fails if a socket cannot be bound, a thread cannot be started or the control thread has ended.
-pub(crate) fn run(settings: settings::AgentSettings) -> eyre::Result<()> {
+pub(crate) fn run(
+    settings: settings::AgentSettings,
+    mut signals: signals::DaemonSignals,
+) -> eyre::Result<()> {
     logs::start(&settings.node.logs, &settings.node.name)?;
     panics::exit_on_panic();
     let metrics = meters::start()?;
@@ -101,7 +104,7 @@
         .wrap_err("the control thread ended before it was listening")?;
     log::info!("listening control={control_address} packets={packet_address} instance={instance}");
     smol::block_on(async {
-        shutdown::requested().await?;
+        signals.shutdown_requested().await?;
         drain(&settings, &inputs, &commands).await
     })
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,6 +9,7 @@
 use std::path;
 
 use gumdrop::Options as _;
+use rosemaryusher_node::signals;
 #[cfg(feature = "machines")]
 use rosemaryusher_node::stream::daemon as stream_daemon;
 
@@ -47,25 +48,37 @@
     }
     let settings_file =
         options.settings.ok_or_else(|| eyre::eyre!("--settings FILE is required"))?;
+    if options.check {
+        return settings::read(&settings_file).map(drop);
+    }
+    let signals = signals::DaemonSignals::install()?;
     let settings = settings::read(&settings_file)?;
     match settings.node.streams.is_some() {
-        _ if options.check => Ok(()),
-        true => run_streams(settings, &settings_file),
-        false => daemon::run(settings),
+        true => run_streams(settings, &settings_file, signals),
+        false => daemon::run(settings, signals),
     }
 }
 
 #[cfg(feature = "machines")]
-fn run_streams(settings: settings::AgentSettings, settings_file: &path::Path) -> eyre::Result<()> {
+fn run_streams(
+    settings: settings::AgentSettings,
+    settings_file: &path::Path,
+    signals: signals::DaemonSignals,
+) -> eyre::Result<()> {
     stream_daemon::run(stream_daemon::DaemonOptions {
         settings: settings.node,
         settings_file: settings_file.to_owned(),
         service: Some(settings.service),
         adapter: rosemaryusher_platform::adapter(),
+        signals,
     })
 }
 
 #[cfg(not(feature = "machines"))]
-fn run_streams(_: settings::AgentSettings, _: &path::Path) -> eyre::Result<()> {
+fn run_streams(
+    _: settings::AgentSettings,
+    _: &path::Path,
+    _: signals::DaemonSignals,
+) -> eyre::Result<()> {
     eyre::bail!("node.streams: needs a build with the feature `machines`")
 }
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -10,6 +10,7 @@
 use std::process;
 
 use gumdrop::Options as _;
+use rosemaryusher_node::signals;
 #[cfg(feature = "machines")]
 use rosemaryusher_node::stream::daemon as stream_daemon;
 
@@ -85,11 +86,15 @@
 }
 
 fn run(options: &RunOptions) -> eyre::Result<process::ExitCode> {
+    if options.check {
+        settings::read(&options.settings)?;
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    let signals = signals::DaemonSignals::install()?;
     let settings = settings::read(&options.settings)?;
     match settings.node.streams.is_some() {
-        _ if options.check => {}
-        true => run_streams(settings, &options.settings)?,
-        false => daemon::run(settings)?,
+        true => run_streams(settings, &options.settings, signals)?,
+        false => daemon::run(settings, signals)?,
     }
     Ok(process::ExitCode::SUCCESS)
 }
@@ -98,16 +103,22 @@
 fn run_streams(
     settings: settings::BalancerSettings,
     settings_file: &path::Path,
+    signals: signals::DaemonSignals,
 ) -> eyre::Result<()> {
     stream_daemon::run(stream_daemon::DaemonOptions {
         settings: settings.node,
         settings_file: settings_file.to_owned(),
         service: None,
         adapter: rosemaryusher_platform::adapter(),
+        signals,
     })
 }
 
 #[cfg(not(feature = "machines"))]
-fn run_streams(_: settings::BalancerSettings, _: &path::Path) -> eyre::Result<()> {
+fn run_streams(
+    _: settings::BalancerSettings,
+    _: &path::Path,
+    _: signals::DaemonSignals,
+) -> eyre::Result<()> {
     eyre::bail!("node.streams: needs a build with the feature `machines`")
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,6 @@
 pub mod release;
 pub mod rings;
 pub mod settings;
-pub mod shutdown;
+pub mod signals;
 pub mod stream;
 pub mod threads;
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -16,7 +16,6 @@
 use rosemaryusher_core::stream::balancer;
 use rosemaryusher_core::stream::slow_start;
 use smol::channel;
-use smol::stream::StreamExt as _;
 
 use crate::clock;
 use crate::logs;
@@ -24,6 +23,7 @@
 use crate::panics;
 use crate::rings;
 use crate::settings;
+use crate::signals;
 use crate::stream::adapter;
 use crate::stream::announce;
 use crate::stream::backend_probes;
@@ -61,6 +61,8 @@
     pub service: Option<String>,
     /// The adapter to the platform.
     pub adapter: adapter::PlatformAdapter,
+    /// The signals that arrive at the process.
+    pub signals: signals::DaemonSignals,
 }
 
 /// Runs the process until a signal has shut it down.
@@ -70,10 +72,6 @@
 /// Fails if a required setting is missing, an address cannot be bound or a thread cannot be
 /// started.
 pub fn run(options: DaemonOptions) -> eyre::Result<()> {
-    // Installed first: a signal during start would otherwise kill the process.
-    let handled_signals =
-        [async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup];
-    let signals = async_signal::Signals::new(handled_signals)?;
     logs::start(&options.settings.logs, &options.settings.name)?;
     panics::exit_on_panic();
     let metrics = meters::start()?;
@@ -174,7 +172,7 @@
         control::start(&context, fetch_receiver).await?;
         executor.spawn(backend_probes::run(context.clone(), backend_probe_receiver)).detach();
         executor.spawn(machine_probes::run(context.clone(), machine_probe_receiver)).detach();
-        serve_signals(&context, signals).await?;
+        serve_signals(&context, options.signals).await?;
         shut_down(&context).await;
         Ok(())
     }))
@@ -188,13 +186,10 @@
 /// Handles signals until one asks the process to shut down.
 async fn serve_signals(
     context: &context::ControlContext,
-    mut signals: async_signal::Signals,
+    mut signals: signals::DaemonSignals,
 ) -> eyre::Result<()> {
-    while let Some(signal) = signals.next().await {
-        match signal? {
-            async_signal::Signal::Hup => control::reload(context).await,
-            _ => return Ok(()),
-        }
+    while signals.next().await? == signals::SignalRequest::Reload {
+        control::reload(context).await;
     }
     Ok(())
 }
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::io;
 use std::io::BufRead as _;
+use std::io::Write as _;
 use std::net;
 use std::path;
 use std::process;
@@ -109,6 +110,17 @@
         self.child.id()
     }
 
+    /// Whether the process handles SIGHUP and SIGTERM; until it does, they end it.
+    pub fn handles_signals(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        let signals = [rustix::process::Signal::HUP, rustix::process::Signal::TERM];
+        let mask = signals.iter().fold(0, |mask, signal| mask | 1 << (signal.as_raw() - 1));
+        caught.is_some_and(|caught| caught & mask == mask)
+    }
+
     /// Waits for an output line for which `parse` returns a value; returns that value.
     ///
     /// # Errors
@@ -216,6 +228,77 @@
     }
 }
 
+/// A settings file whose contents a process waits for: a named pipe.
+///
+/// Holds a process at the read of its settings, so that a test can act at that moment.
+#[derive(Debug)]
+pub struct PendingSettings {
+    path: path::PathBuf,
+    settings: path::PathBuf,
+}
+
+impl TempDir {
+    /// Creates a file that yields these settings once they are released.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be created.
+    pub fn pend(&self, name: &str, value: &serde_json::Value) -> eyre::Result<PendingSettings> {
+        let settings = self.write(&format!("{name}.next"), value)?;
+        let path = self.path.join(name);
+        let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
+        rustix::fs::mknodat(rustix::fs::CWD, &path, rustix::fs::FileType::Fifo, mode, 0)?;
+        Ok(PendingSettings { path, settings })
+    }
+}
+
+impl PendingSettings {
+    /// The path to give to the process.
+    pub fn path(&self) -> &path::Path {
+        &self.path
+    }
+
+    /// Waits until a process reads the file.
+    ///
+    /// # Errors
+    ///
+    /// Fails on timeout.
+    pub fn wait_for_reader(&self) -> eyre::Result<HeldReader> {
+        let open = || {
+            let flags = rustix::fs::OFlags::WRONLY | rustix::fs::OFlags::NONBLOCK;
+            rustix::fs::open(&self.path, flags, rustix::fs::Mode::empty()).ok()
+        };
+        let pipe = wait_for("a process that reads its settings", open)?;
+        Ok(HeldReader {
+            pipe: pipe.into(),
+            settings: self.settings.clone(),
+            path: self.path.clone(),
+        })
+    }
+}
+
+/// A process that waits for its settings.
+#[derive(Debug)]
+pub struct HeldReader {
+    pipe: std::fs::File,
+    settings: path::PathBuf,
+    path: path::PathBuf,
+}
+
+impl HeldReader {
+    /// Gives the process its settings, and puts a plain file with them in the place of the pipe.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read or written.
+    pub fn release(mut self) -> eyre::Result<()> {
+        let text = std::fs::read(&self.settings)?;
+        std::fs::rename(&self.settings, &self.path)?;
+        self.pipe.write_all(&text)?;
+        Ok(())
+    }
+}
+
 impl Drop for TempDir {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.path);
