A settings file is read once at the start, so that no change is lost

Callers saw nothing in person: found while the start was read for faults of signals. A settings file that changed in the first milliseconds of a process had no effect until it changed again, so the process went on with, say, an old address of the platform.

Cause: the file was read twice, for the settings and for the text that later reads are compared with. A change between the two was taken for the state at the start.

Change: the text is read once, and the settings are parsed from it.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -9,6 +9,7 @@
 use std::path;
 
 use gumdrop::Options as _;
+use rosemaryusher_node::settings as node_settings;
 use rosemaryusher_node::signals;
 #[cfg(feature = "machines")]
 use rosemaryusher_node::stream::daemon as stream_daemon;
@@ -49,12 +50,14 @@
     let settings_file =
         options.settings.ok_or_else(|| eyre::eyre!("--settings FILE is required"))?;
     if options.check {
-        return settings::read(&settings_file).map(drop);
+        let text = node_settings::read_text(&settings_file)?;
+        return settings::parse(&settings_file, &text).map(drop);
     }
     let signals = signals::DaemonSignals::install()?;
-    let settings = settings::read(&settings_file)?;
+    let text = node_settings::read_text(&settings_file)?;
+    let settings = settings::parse(&settings_file, &text)?;
     match settings.node.streams.is_some() {
-        true => run_streams(settings, &settings_file, signals),
+        true => run_streams(settings, settings_file, text, signals),
         false => daemon::run(settings, signals),
     }
 }
@@ -62,12 +65,14 @@
 #[cfg(feature = "machines")]
 fn run_streams(
     settings: settings::AgentSettings,
-    settings_file: &path::Path,
+    settings_file: path::PathBuf,
+    settings_text: String,
     signals: signals::DaemonSignals,
 ) -> eyre::Result<()> {
     stream_daemon::run(stream_daemon::DaemonOptions {
         settings: settings.node,
-        settings_file: settings_file.to_owned(),
+        settings_file,
+        settings_text,
         service: Some(settings.service),
         adapter: rosemaryusher_platform::adapter(),
         signals,
@@ -77,7 +82,8 @@
 #[cfg(not(feature = "machines"))]
 fn run_streams(
     _: settings::AgentSettings,
-    _: &path::Path,
+    _: path::PathBuf,
+    _: String,
     _: signals::DaemonSignals,
 ) -> eyre::Result<()> {
     eyre::bail!("node.streams: needs a build with the feature `machines`")
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -72,13 +72,13 @@
     }
 }
 
-/// Reads and checks the settings.
+/// Parses and checks the text of the settings file.
 ///
 /// # Errors
 ///
-/// Fails if the file cannot be read; invalid settings are all listed in the error.
-pub(crate) fn read(file: &path::Path) -> eyre::Result<AgentSettings> {
-    let settings: AgentSettings = settings::read(file)?;
+/// Lists all invalid settings.
+pub(crate) fn parse(file: &path::Path, text: &str) -> eyre::Result<AgentSettings> {
+    let settings: AgentSettings = settings::parse_file(file, text)?;
     let mut faults: Vec<_> =
         settings.node.check().into_iter().map(|fault| format!("node.{fault}")).collect();
     let mut require = |is_valid: bool, fault: &str| {
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -10,6 +10,7 @@
 use std::process;
 
 use gumdrop::Options as _;
+use rosemaryusher_node::settings as node_settings;
 use rosemaryusher_node::signals;
 #[cfg(feature = "machines")]
 use rosemaryusher_node::stream::daemon as stream_daemon;
@@ -87,13 +88,15 @@
 
 fn run(options: &RunOptions) -> eyre::Result<process::ExitCode> {
     if options.check {
-        settings::read(&options.settings)?;
+        let text = node_settings::read_text(&options.settings)?;
+        settings::parse(&options.settings, &text)?;
         return Ok(process::ExitCode::SUCCESS);
     }
     let signals = signals::DaemonSignals::install()?;
-    let settings = settings::read(&options.settings)?;
+    let text = node_settings::read_text(&options.settings)?;
+    let settings = settings::parse(&options.settings, &text)?;
     match settings.node.streams.is_some() {
-        true => run_streams(settings, &options.settings, signals)?,
+        true => run_streams(settings, options.settings.clone(), text, signals)?,
         false => daemon::run(settings, signals)?,
     }
     Ok(process::ExitCode::SUCCESS)
@@ -102,12 +105,14 @@
 #[cfg(feature = "machines")]
 fn run_streams(
     settings: settings::BalancerSettings,
-    settings_file: &path::Path,
+    settings_file: path::PathBuf,
+    settings_text: String,
     signals: signals::DaemonSignals,
 ) -> eyre::Result<()> {
     stream_daemon::run(stream_daemon::DaemonOptions {
         settings: settings.node,
-        settings_file: settings_file.to_owned(),
+        settings_file,
+        settings_text,
         service: None,
         adapter: rosemaryusher_platform::adapter(),
         signals,
@@ -117,7 +122,8 @@
 #[cfg(not(feature = "machines"))]
 fn run_streams(
     _: settings::BalancerSettings,
-    _: &path::Path,
+    _: path::PathBuf,
+    _: String,
     _: signals::DaemonSignals,
 ) -> eyre::Result<()> {
     eyre::bail!("node.streams: needs a build with the feature `machines`")
--- a/crates/balancer/src/settings.rs
+++ b/crates/balancer/src/settings.rs
@@ -54,13 +54,13 @@
     400_000
 }
 
-/// Reads and checks the settings.
+/// Parses and checks the text of the settings file.
 ///
 /// # Errors
 ///
-/// Fails if the file cannot be read; invalid settings are all listed in the error.
-pub(crate) fn read(file: &path::Path) -> eyre::Result<BalancerSettings> {
-    let settings: BalancerSettings = settings::read(file)?;
+/// Lists all invalid settings.
+pub(crate) fn parse(file: &path::Path, text: &str) -> eyre::Result<BalancerSettings> {
+    let settings: BalancerSettings = settings::parse_file(file, text)?;
     let mut faults: Vec<_> =
         settings.node.check().into_iter().map(|fault| format!("node.{fault}")).collect();
     if !(1_000..=50_000_000).contains(&settings.cached_flows) {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -176,8 +176,25 @@
 ///
 /// Names the file, the field and its line.
 pub fn read<T: de::DeserializeOwned>(file: &path::Path) -> eyre::Result<T> {
-    let text = fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file:?}"))?;
-    parse(&text).wrap_err_with(|| format!("{file:?} is not valid"))
+    parse_file(file, &read_text(file)?)
+}
+
+/// Reads the text of a file of settings.
+///
+/// # Errors
+///
+/// Names the file.
+pub fn read_text(file: &path::Path) -> eyre::Result<String> {
+    fs::read_to_string(file).wrap_err_with(|| format!("cannot read {file:?}"))
+}
+
+/// Parses the text of a file of settings.
+///
+/// # Errors
+///
+/// Names the file, the field and its line.
+pub fn parse_file<T: de::DeserializeOwned>(file: &path::Path, text: &str) -> eyre::Result<T> {
+    parse(text).wrap_err_with(|| format!("{file:?} is not valid"))
 }
 
 /// Fails if there are faults.
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -57,6 +57,8 @@
     pub settings: settings::NodeSettings,
     /// The file that the settings were read from.
     pub settings_file: path::PathBuf,
+    /// The text of that file.
+    pub settings_text: String,
     /// The service of the backend server on this machine; `None` at a balancer.
     pub service: Option<String>,
     /// The adapter to the platform.
@@ -153,9 +155,7 @@
         platform_client: cell::RefCell::new((options.adapter.open_platform)(platform, timeout)),
         open_platform: options.adapter.open_platform,
         settings: cell::RefCell::new(options.settings),
-        settings_text: cell::RefCell::new(
-            std::fs::read_to_string(&options.settings_file).wrap_err("cannot read the settings")?,
-        ),
+        settings_text: cell::RefCell::new(options.settings_text),
         settings_file: options.settings_file,
         service,
         state: cell::RefCell::default(),
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -235,11 +235,15 @@
 pub struct PendingSettings {
     path: path::PathBuf,
     settings: path::PathBuf,
+    text: Vec<u8>,
 }
 
 impl TempDir {
     /// Creates a file that yields these settings once they are released.
     ///
+    /// The file `NAME.next` then takes its place; it has the same contents unless a test writes
+    /// others.
+    ///
     /// # Errors
     ///
     /// Fails if it cannot be created.
@@ -248,7 +252,8 @@
         let path = self.path.join(name);
         let mode = rustix::fs::Mode::RUSR | rustix::fs::Mode::WUSR;
         rustix::fs::mknodat(rustix::fs::CWD, &path, rustix::fs::FileType::Fifo, mode, 0)?;
-        Ok(PendingSettings { path, settings })
+        let text = std::fs::read(&settings)?;
+        Ok(PendingSettings { path, settings, text })
     }
 }
 
@@ -263,38 +268,32 @@
     /// # Errors
     ///
     /// Fails on timeout.
-    pub fn wait_for_reader(&self) -> eyre::Result<HeldReader> {
+    pub fn wait_for_reader(&self) -> eyre::Result<HeldReader<'_>> {
         let open = || {
             let flags = rustix::fs::OFlags::WRONLY | rustix::fs::OFlags::NONBLOCK;
             rustix::fs::open(&self.path, flags, rustix::fs::Mode::empty()).ok()
         };
         let pipe = wait_for("a process that reads its settings", open)?;
-        Ok(HeldReader {
-            pipe: pipe.into(),
-            settings: self.settings.clone(),
-            path: self.path.clone(),
-        })
+        Ok(HeldReader { pipe: pipe.into(), pending: self })
     }
 }
 
 /// A process that waits for its settings.
 #[derive(Debug)]
-pub struct HeldReader {
+pub struct HeldReader<'a> {
     pipe: std::fs::File,
-    settings: path::PathBuf,
-    path: path::PathBuf,
+    pending: &'a PendingSettings,
 }
 
-impl HeldReader {
-    /// Gives the process its settings, and puts a plain file with them in the place of the pipe.
+impl HeldReader<'_> {
+    /// Gives the process its settings, and puts a plain file in the place of the pipe.
     ///
     /// # Errors
     ///
     /// Fails if a file cannot be read or written.
     pub fn release(mut self) -> eyre::Result<()> {
-        let text = std::fs::read(&self.settings)?;
-        std::fs::rename(&self.settings, &self.path)?;
-        self.pipe.write_all(&text)?;
+        std::fs::rename(&self.pending.settings, &self.pending.path)?;
+        self.pipe.write_all(&self.pending.text)?;
         Ok(())
     }
 }
