A reload keeps the settings that need a restart, and names them

Callers saw, or would have seen: all streams of a running backend server reset, after the settings file of its agent had got another backend_address. Found by reading; no user reported it.

Cause: a reload replaced all settings. The packet thread kept the address that it was started with, while the connection probe took the new one, found nothing there and concluded that the backend server was over. The data centre in the announcement changed in the same way, and a changed service was not noticed at all.

Change: settings that a process keeps while it runs keep their values for probes and announcements too. A reload that changes them, or the service, names them in the log (needs_restart) and as an error.

Evidence: settings_reloaded::fixed_settings_kept. On the programs of before, with its comparison of needs_restart left out, the agent logs "Gone" with "reset":1 while its backend server runs and the stream is open; it passes now.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -116,6 +116,19 @@
 }
 
 impl NodeSettings {
+    /// Takes the settings that a process keeps while it runs from its current ones; returns the
+    /// names of those that differ.
+    pub(crate) fn keep_fixed(&mut self, current: &NodeSettings) -> Vec<&'static str> {
+        let mut kept = Vec::new();
+        keep(&mut self.name, &current.name, "node.name", &mut kept);
+        keep(&mut self.data_centre, &current.data_centre, "node.data_centre", &mut kept);
+        keep(&mut self.packet_address, &current.packet_address, "node.packet_address", &mut kept);
+        if let (Some(next), Some(current)) = (&mut self.streams, &current.streams) {
+            next.keep_fixed(current, &mut kept);
+        }
+        kept
+    }
+
     /// Lists every fault that the types do not rule out.
     pub fn check(&self) -> Vec<String> {
         let control = &self.control;
@@ -212,3 +225,16 @@
 fn any_local_port() -> net::SocketAddr {
     net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0))
 }
+
+/// Takes the current value of a setting that cannot change while the process runs.
+pub(crate) fn keep<T: Clone + PartialEq>(
+    next: &mut T,
+    current: &T,
+    name: &'static str,
+    kept: &mut Vec<&'static str>,
+) {
+    if next != current {
+        next.clone_from(current);
+        kept.push(name);
+    }
+}
--- a/crates/node/src/stream/context.rs
+++ b/crates/node/src/stream/context.rs
@@ -63,7 +63,22 @@
         self.send_input(packets::StreamInput::Config(next)).await;
     }
 
-    pub(crate) async fn apply_settings(&self, next: settings::NodeSettings) {
+    /// Applies changed settings; those that a process keeps while it runs have no effect.
+    ///
+    /// A probe of a changed backend address, for example, would find nothing there and end every
+    /// stream of the backend server that still runs.
+    pub(crate) async fn apply_settings(
+        &self,
+        mut next: settings::NodeSettings,
+        service: Option<ids::ServiceId>,
+    ) {
+        let mut needs_restart = next.keep_fixed(&self.settings.borrow());
+        if service != self.service {
+            needs_restart.push("service");
+        }
+        if !needs_restart.is_empty() {
+            log::error!("restart the process to apply changed settings: {needs_restart:?}");
+        }
         let before = self.settings.replace(next.clone());
         if before.platform != next.platform
             && let Some(address) = next.platform
@@ -76,6 +91,7 @@
             "event": "reloaded",
             "platform": next.platform.map(|address| address.to_string()),
             "seeds": seeds,
+            "needs_restart": needs_restart,
         }));
         self.send_seeds(seeds).await;
     }
--- a/crates/node/src/stream/control.rs
+++ b/crates/node/src/stream/control.rs
@@ -4,6 +4,7 @@
 use std::rc;
 
 use rosemaryusher_core::config;
+use rosemaryusher_core::ids;
 use smol::channel;
 
 use crate::external_input;
@@ -103,11 +104,14 @@
     let parsed = settings::parse::<SettingsFile>(&text).and_then(|file| {
         settings::fail_on_faults(&file.node.check())?;
         eyre::ensure!(file.node.streams.is_some(), "node.streams: is missing");
-        Ok(file.node)
+        Ok(file)
     });
     context.settings_text.replace(text);
     match parsed {
-        Ok(next) => context.apply_settings(next).await,
+        Ok(file) => {
+            let service = file.service.as_deref().map(ids::ServiceId::of_name);
+            context.apply_settings(file.node, service).await;
+        }
         Err(error) => log::error!("ignored invalid settings: {error:#}"),
     }
 }
@@ -116,4 +120,6 @@
 #[derive(serde::Deserialize)]
 struct SettingsFile {
     node: settings::NodeSettings,
+    #[serde(default)]
+    service: Option<String>,
 }
--- a/crates/node/src/stream/settings.rs
+++ b/crates/node/src/stream/settings.rs
@@ -7,6 +7,8 @@
 use rosemaryusher_core::stream::policy;
 use serde::Deserialize;
 
+use crate::settings;
+
 /// The settings of a process that takes part in streams.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -73,6 +75,25 @@
             .collect()
     }
 
+    /// Takes the settings that a process keeps while it runs from its current ones, and appends the
+    /// names of those that differ.
+    pub(crate) fn keep_fixed(&mut self, current: &StreamSettings, kept: &mut Vec<&'static str>) {
+        let next = self;
+        macro_rules! keep {
+            ($($field:ident),*) => {
+                $(settings::keep(
+                    &mut next.$field,
+                    &current.$field,
+                    concat!("node.streams.", stringify!($field)),
+                    kept,
+                );)*
+            };
+        }
+        keep!(listen_address, segment_address, network_address, backend_address, report_address);
+        keep!(ready_address, report_period_ms, stream_limit_s, policy);
+        keep!(slow_start_overage, slow_start_slack, evacuations);
+    }
+
     /// Returns a message for each setting that is out of range or inconsistent.
     pub fn check(&self) -> Vec<String> {
         let mut faults = Vec::new();
