Only a member's own answer shows that it is alive

Callers saw, or would have seen: requests and datagrams that wait for their deadline, after a balancer or an agent was killed and a process under another name started at its address. Found by reading for siblings of the reused address; no user reported it.

Packets for it reached the new process, which drops them, since they name another run.

Change: the probe compares the answer's instance with the member's.

Evidence: stand-ins address_reused::dead_member_found. Before, the killed member was still listed as reachable after 60 s (suspect_ms 500); it passes now in under a second.

--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -124,15 +124,16 @@
     true
 }
 
-/// Exchanges with a member; false if it is unknown or did not answer.
+/// Exchanges with a member; false if it is unknown or did not answer itself.
+///
+/// Another process may use its address by now. If that one's answer counted, a dead member would
+/// stay in every view, and callers' packets would be sent to it.
 pub(crate) async fn exchange_with_member(
     hub: &rc::Rc<control::ControlHub>,
     member: ids::InstanceId,
 ) -> bool {
-    match address_of(hub, member) {
-        Some(peer) => exchange(hub, peer).await,
-        None => false,
-    }
+    let Some(peer) = address_of(hub, member) else { return false };
+    exchange(hub, peer).await == Some(member)
 }
 
 fn spawn_action(hub: &rc::Rc<control::ControlHub>, action: membership::ProbeAction) {
@@ -164,13 +165,16 @@
     }
 }
 
-async fn exchange(hub: &rc::Rc<control::ControlHub>, peer: net::SocketAddr) -> bool {
+/// Exchanges with the process at an address; returns which one answered.
+async fn exchange(
+    hub: &rc::Rc<control::ControlHub>,
+    peer: net::SocketAddr,
+) -> Option<ids::InstanceId> {
     let message = hub.prober.borrow_mut().build_message(hub.generation());
     let path = "/peer/exchange".to_owned();
-    let answer = post::<_, membership::ExchangeMessage>(hub, peer, path, &message).await;
-    let Some(answer) = answer else { return false };
+    let answer = post::<_, membership::ExchangeMessage>(hub, peer, path, &message).await?;
     receive(hub, &answer).await;
-    true
+    Some(answer.from.instance)
 }
 
 /// Processes a peer's message, and fetches the peer's configuration if it is newer.
