A request record is handed over to the agent that is named

Callers would have seen: resubmitted requests whose outcome is unknown, although another agent could have taken the record. Found by reading for siblings of the reused address.

Cause: POST /peer/handover did not name its receiver. A process that had replaced the successor at its address accepted the record, and the leaving agent told everyone that the successor has it.

Change: the call names the successor, and a process refuses a record for another one; the agent then tries its next successor.

Evidence: stand-ins address_reused::handover_refused: 200 before, 409 now; with its own name a process accepts the record as before.

--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -109,6 +109,8 @@
 }
 
 /// Hands a request record over to another agent; false if it did not accept all of it.
+///
+/// Names the agent, since another process may use its address by now.
 pub(crate) async fn hand_over(
     hub: &control::ControlHub,
     successor: ids::InstanceId,
@@ -116,7 +118,8 @@
 ) -> bool {
     let Some(peer) = address_of(hub, successor) else { return false };
     for part in parts {
-        let taken = post::<_, ()>(hub, peer, "/peer/handover".to_owned(), part).await;
+        let path = format!("/peer/handover?to={}", successor.0);
+        let taken = post::<_, ()>(hub, peer, path, part).await;
         if taken.is_none() {
             return false;
         }
--- a/crates/node/src/control/routes.rs
+++ b/crates/node/src/control/routes.rs
@@ -73,6 +73,11 @@
             "this process is not an agent and keeps no request record\n",
         );
     }
+    let own = hub.prober.borrow().own().instance;
+    let to = request.parameter("to").and_then(|text| text.parse().ok()).map(ids::InstanceId);
+    if to.is_some_and(|to| to != own) {
+        return http::ServerResponse::new(409, "the request record is for another process\n");
+    }
     let (done, stored) = channel::bounded(1);
     let output = control::ControlOutput::Adopt { part, done };
     if hub.outputs.send(output).await.is_err() || stored.recv().await.is_err() {
--- a/crates/standins/tests/address_reused.rs
+++ b/crates/standins/tests/address_reused.rs
@@ -3,7 +3,11 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::net;
+use std::time;
 
+use rosemaryusher_core::ids;
+use rosemaryusher_node::control;
+use rosemaryusher_node::http;
 use rosemaryusher_standins::pages;
 use rosemaryusher_standins::process;
 
@@ -54,3 +58,30 @@
     let _next = start_balancer(&folder, "b3", first, second);
     wait_for_members(second, &["b2", "b3"]);
 }
+
+/// An agent hands its request record over to one that has just been replaced at its address. The
+/// process there must refuse the record, so that the agent hands it over to another one.
+#[test]
+fn handover_refused() {
+    let folder = process::TempDir::new().unwrap();
+    let settings = serde_json::json!({
+        "node": { "name": "a1", "data_centre": "a", "peers": ["127.0.0.1:9"] },
+        "service": "wallet",
+        "backend": { "requests": "127.0.0.1:9" },
+    });
+    let file = folder.write("a1.json", &settings).unwrap();
+    let arguments = ["--settings".to_owned(), file.display().to_string()];
+    let program = process::program_dir().unwrap().join("rosemaryusher-agent");
+    let agent = process::ChildProcess::start("a1", &program, &arguments).unwrap();
+    let address = agent.control_address().unwrap();
+    let own = pages::get(address, "/state").unwrap()["own"]["instance"].as_u64().unwrap();
+    let part =
+        control::HandoverPart { home: ids::InstanceId(7), entries: Vec::new(), is_last: true };
+    for (to, status) in [(own ^ 2, 409), (own, 200)] {
+        let path = format!("/peer/handover?to={to}");
+        let timeout = time::Duration::from_secs(5);
+        let mut call = http::ClientRequest::new(hyper::Method::POST, address, path, timeout);
+        call.body = rmp_serde::to_vec(&part).unwrap();
+        assert_eq!(smol::block_on(http::call(call)).unwrap().status, status);
+    }
+}
