A search asks the agent at a reused address, whatever its former service

Callers would have seen: an open stream reset, after its agent's address had gone from one service to another and one balancer did not hear the new agent. Found by reading for siblings of the reused address.

Cause: a balancer keeps the service that an agent last reported, and ignored announcements and mentions of another one. It left the agent out of the search for the stream; all others denied it, and the search counted as complete.

Lost machines are left out as before.

Evidence: core address_reused::former_service_known failed before ("is reset but open at 10.0.1.1:7000") and passes now, with the other tests of core.

--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -125,12 +125,16 @@
         let mut holders = PossibleHolders::default();
         for (address, known) in &self.agents {
             let phase = known.report.as_ref().map(|report| report.phase);
-            let is_of_another = |service| known.service.is_some_and(|of| of != service);
+            // An agent that started at a reused address may hold streams of the new service before
+            // its reports arrive here.
+            let is_reused = known.is_service_disputed;
+            let is_of_another =
+                |service| !is_reused && known.service.is_some_and(|of| of != service);
             let is_in_lost_centre =
                 known.data_centre.is_some_and(|centre| lost_centres.contains(&centre));
             match phase {
                 // Its backend server has terminated, and all its streams with it.
-                Some(host::HostPhase::Gone) => {}
+                Some(host::HostPhase::Gone) if !is_reused => {}
                 _ if service.is_some_and(is_of_another) => {}
                 _ if is_in_lost_centre => holders.has_presumed_lost = true,
                 None if self.is_presumed_lost(known, now) => holders.has_presumed_lost = true,
--- a/crates/core/src/stream/agent_table/mod.rs
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -34,6 +34,9 @@
     pub report: Option<message::AgentReport>,
     /// The service of its backend server, once announced, reported or mentioned.
     pub service: Option<ids::ServiceId>,
+    /// Whether it has been announced or mentioned with another service since its last report: its
+    /// address may be reused.
+    is_service_disputed: bool,
     /// Its data centre, once announced, reported or mentioned.
     pub data_centre: Option<u32>,
     /// When this balancer subscribed to its reports, if it does.
@@ -186,6 +189,7 @@
         now: ids::UnixMillis,
     ) {
         let known = self.agents.entry(agent).or_insert_with(|| unreported(now));
+        known.is_service_disputed |= known.service.is_some_and(|known| known != service);
         if known.service.is_none() || known.data_centre.is_none() {
             known.service = known.service.or(Some(service));
             known.data_centre = known.data_centre.or(data_centre);
@@ -257,6 +261,7 @@
     KnownAgent {
         report: None,
         service: None,
+        is_service_disputed: false,
         data_centre: None,
         subscribed: None,
         last_request: ids::UnixMillis(0),
--- a/crates/core/tests/address_reused.rs
+++ b/crates/core/tests/address_reused.rs
@@ -132,3 +132,34 @@
     });
     assert_eq!(doubts.count(), 6);
 }
+
+/// A balancer that no longer hears the agent at a reused address still knows it by its former
+/// service. It must search for streams there, and not reset one that every other agent denies.
+#[test]
+fn former_service_known() {
+    let mut world = world::StreamWorld::with_three_hosts();
+    let (agent, balancer) = (world::agent_address(1), world::balancer_address(1));
+    world.start_host(2, "preview", 16);
+    world.start_agent(2, "preview");
+    world.advance(1_000);
+    world.blocked_links.insert((agent, balancer));
+    world.start_host(1, "preview", 16);
+    world.start_agent(1, "preview");
+    world.entry_balancer = world::balancer_address(2);
+    world.host(2).is_hung = true;
+    world.advance(2_000);
+    let key = world::key(1, 5);
+    world.open(key, 0);
+    world.advance(10);
+    assert_eq!(world.holders(key), [1]);
+    world.host(2).is_hung = false;
+    world.advance(1_000);
+    world.entry_balancer = balancer;
+    world.send(key);
+    world.advance(200);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (0, 0));
+    world.blocked_links.clear();
+    world.send(key);
+    world.advance(200);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+}
