--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -92,7 +92,7 @@
 stream-probes-counted	crates/core/src/stream/agent/admission.rs	s/message::CarryKind::Probe => \{/message::CarryKind::OpenQueued => {/	-p rosemaryusher-core --test stream_search probes_take_no_slots
 stream-lost-waited-for	crates/core/src/stream/policy.rs	s/lost_ms: 2_000/lost_ms: 60_000/	-p rosemaryusher-core --test stream_search lost_machine
 stream-out-of-contact	crates/core/src/stream/agent_table/liveness.rs	s/if !self\.reaches_majority\(\) \{(\s+)self\.on_contact_lost/if false {$1self.on_contact_lost/	-p rosemaryusher-core --test stream_search contact_regained
-stream-gone-asked	crates/core/src/stream/agent_table/liveness.rs	s/Some\(host::HostPhase::Gone\) => \{\}//	-p rosemaryusher-core --test stream_search departed_agent_skipped
+stream-gone-asked	crates/core/src/stream/agent_table/liveness.rs	s/Some\(host::HostPhase::Gone\) if !is_reused => \{\}//	-p rosemaryusher-core --test stream_search departed_agent_skipped
 stream-host-not-doubted	crates/core/src/stream/agent/host_events.rs	s/actions\.push\(stream::StreamAction::ProbeHost\);//	-p rosemaryusher-core --test host_stopped killed_during_request
 stream-vanished-for-good	crates/core/src/stream/host.rs	s/match std::mem::take\(&mut self\.is_presumed_over\) \{/match self.is_presumed_over {/	-p rosemaryusher-core --test host_stopped reopened_port_serves
 stream-vanished-proves	crates/core/src/stream/agent/host_events.rs	s/host::ReportOutcome::Returned => self\.has_seen_all_openings = false,/host::ReportOutcome::Returned => {}/	-p rosemaryusher-core --test host_stopped reopened_port_with_streams
