--- a/crates/core/tests/address_reused.rs
+++ b/crates/core/tests/address_reused.rs
@@ -150,7 +150,7 @@
     assert_ne!(world.agents[&world::agent_address(1)].phase(world.now), host::HostPhase::Serving);
 }
 
-/// A balancer that no longer hears the agent at a reused address still knows it by its former
+/// A balancer without reports from the agent at a reused address still knows it by its former
 /// service. It must search for streams there, and not reset one that every other agent denies.
 #[test]
 fn former_service_known() {
