--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -36,7 +36,7 @@
 IDLE_TIMEOUT_MS = 15000
 SLOTS = 4
 
-DATAGRAM, READY, CONTROL, OUTBOUND, APP, INTERNAL, STORE = range(7)
+DATAGRAM, READY, CONTROL, OUTBOUND, APP, INTERNAL, STORE, PRIVATE = range(8)
 
 
 def mask(value):
@@ -280,6 +280,55 @@
             writer.close()
 
 
+# ---------------------------------------------------------------- links between the daemons
+
+class Link(asyncio.DatagramProtocol):
+    """The public message address of one machine.
+
+    Datagrams for it are passed on to its daemon, from the public address of the daemon that sent them.
+    """
+
+    def __init__(self, world, machine):
+        self.world, self.machine = world, machine
+
+    def error_received(self, exc):
+        pass
+
+    def datagram_received(self, raw, sender):
+        source = self.world.machine_of(sender[0])
+        if source not in self.world.links or self.world.is_cut(source, self.machine):
+            return
+        link = self.world.links[source]
+        link.transport.sendto(raw, self.world.address(self.machine, PRIVATE))
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        address = self.world.address(self.machine, INTERNAL)
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        self.server = await asyncio.start_server(self.pass_on, *address)
+
+    async def pass_on(self, reader, writer):
+        """Passes a connection on; sources of connections aren't told apart, so none is ever cut."""
+        self.world.link_calls[self.machine] = self.world.link_calls.get(self.machine, 0) + 1
+        try:
+            there, back = await asyncio.open_connection(*self.world.address(self.machine, PRIVATE))
+        except OSError:
+            writer.transport.abort()
+            return
+
+        async def copy(source, target):
+            try:
+                while data := await source.read(65536):
+                    target.write(data)
+                    await target.drain()
+            except (OSError, asyncio.CancelledError):
+                pass
+            finally:
+                target.close()
+
+        await asyncio.gather(copy(reader, back), copy(there, writer))
+
+
 # ---------------------------------------------------------------- hosts
 
 class HostFlow:
@@ -575,8 +624,15 @@
 class World:
     """All machines of a deployment, their addresses and the processes that run on them."""
 
-    def __init__(self, folder, edges, sides, clients):
-        """`edges` and `clients` map machines to zones; `sides` maps machines to (zone, service)."""
+    def __init__(self, folder, edges, sides, clients, spare=(), with_links=False):
+        """`edges` and `clients` map machines to zones; `sides` maps machines to (zone, service).
+
+        The edges in `spare` are not started with the others. With links, messages between daemons pass
+        through `Link`, where `is_cut` may drop them.
+        """
+        self.spare, self.with_links = set(spare), with_links
+        self.links, self.link_calls = {}, {}
+        self.is_cut = lambda source, target: False
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.edges, self.clients_of = edges, clients
@@ -605,7 +661,7 @@
             self.block = random.randrange(64, 126)
             self.net = random.randrange(1, 250)
             base = random.randrange(15000, 30000)
-            self.ports = [base + i for i in range(7)]
+            self.ports = [base + i for i in range(8)]
             if all(self.is_free(m, port) for m in self.machines for port in self.ports):
                 return
         raise RuntimeError("no free addresses")
@@ -654,6 +710,8 @@
             streams["backend_address"] = self.text(machine, APP)
             streams["report_address"] = self.text(machine, CONTROL)
             streams["policy"] = {"admission": {"waiting_aim_percent": 50}}
+        if self.with_links:
+            streams["listen_address"] = self.text(machine, PRIVATE)
         settings = {"node": {
             "name": machine,
             "data_centre": self.zones[machine],
@@ -680,6 +738,11 @@
         self.started[machine] = time.monotonic()
         self.record.line(f"process on {machine} starts")
 
+    def add(self, machine):
+        """Adds a spare machine."""
+        self.launch(machine)
+        self.tasks.append(asyncio.create_task(self.probe(machine)))
+
     async def stop(self, machine):
         """SIGTERM, then SIGKILL after the grace time."""
         child = self.processes.pop(machine)
@@ -778,10 +841,15 @@
         self.store = Store(self)
         await self.store.start()
         self.store.put("config", "main", config)
+        if self.with_links:
+            self.links = {machine: Link(self, machine) for machine in [*self.edges, *self.services]}
+            for link in self.links.values():
+                await link.start()
         for machine in [*self.edges, *self.services]:
-            self.launch(machine)
+            if machine not in self.spare:
+                self.launch(machine)
         self.is_first_start = False
-        self.tasks += [asyncio.create_task(self.probe(edge)) for edge in self.edges]
+        self.tasks += [asyncio.create_task(self.probe(edge)) for edge in self.edges if edge not in self.spare]
         self.tasks.append(asyncio.create_task(self.watch_processes()))
         self.clients = {machine: Client(self, machine) for machine in self.clients_of}
         for client in self.clients.values():
@@ -789,7 +857,7 @@
 
     async def until_ready(self, limit_s=20):
         until = time.monotonic() + limit_s
-        while not all(self.ready.get(edge) for edge in self.edges):
+        while not all(self.ready.get(edge) for edge in self.edges if edge not in self.spare):
             if time.monotonic() > until:
                 raise RuntimeError("the balancers did not become ready")
             await asyncio.sleep(0.05)
