--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -627,7 +627,7 @@
     def __init__(self, folder, edges, sides, clients, spare=(), with_links=False):
         """`edges` and `clients` map machines to zones; `sides` maps machines to (zone, service).
 
-        The edges in `spare` are not started with the others. With links, messages between daemons pass
+        The machines in `spare` are not started with the others. With links, messages between daemons pass
         through `Link`, where `is_cut` may drop them.
         """
         self.spare, self.with_links = set(spare), with_links
@@ -644,6 +644,7 @@
         self.processes = {}
         self.started = {}
         self.ready = {}
+        self.misses = {}
         self.breaches = []
         self.runs = {}
         self.counts = {"sent": 0, "answered": 0, "reset": 0, "deadline": 0}
@@ -786,6 +787,7 @@
         while True:
             status, _ = await http_call(self.address(edge, READY), "GET", "/ready", timeout=0.4)
             misses = 0 if status == 200 else misses + 1
+            self.misses[edge] = misses
             is_ready = misses < 2
             if is_ready != self.ready.get(edge, False):
                 self.record.line(f"{edge} is {'in' if is_ready else 'out of'} rotation")
