--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import zlib
@@ -630,6 +631,8 @@
         The machines in `spare` are not started with the others. With links, messages between daemons pass
         through `Link`, where `is_cut` may drop them.
         """
+        # A script that is told to end still ends its processes.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.spare, self.with_links = set(spare), with_links
         self.links, self.link_calls = {}, {}
         self.is_cut = lambda source, target: False
@@ -642,6 +645,7 @@
         self.net = random.randrange(1, 250)
         self.pick_addresses()
         self.processes = {}
+        self.children = []
         self.started = {}
         self.ready = {}
         self.misses = {}
@@ -736,6 +740,7 @@
         child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT, env=environment)
         log.close()
         self.processes[machine] = child
+        self.children.append(child)
         self.started[machine] = time.monotonic()
         self.record.line(f"process on {machine} starts")
 
@@ -869,9 +874,10 @@
             task.cancel()
         # Tasks that are still waiting end with the loop, and that is no error.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        for child in self.processes.values():
-            child.kill()
-            child.wait()
+        for child in self.children:
+            if child.poll() is None:
+                child.kill()
+                child.wait()
         self.record.line(f"totals: {self.counts}")
         self.record.close()
         if keep_logs or os.environ.get("KEEP_LOGS"):
