An agent whose backend server had stopped is asked in searches while it reports

Callers saw: an open stream is reset by a balancer although its backend server had started a moment ago and held it.

Change: who may be left out of a search, and on what evidence, now stands in core::stream::agent_table::exclusion. An agent that reports is asked, also when its backend server has stopped; it denies at once then. One that is silent after "Gone" is left out as departed, unless another balancer has heard from it since. "searched" tells how many silent agents were left out.

Why this is enough: a denial is evidence about the present. Both tests failed before ("is reset but open"): search_exclusions::report_of_start_lost and start_mentioned. The other side, callers of dead streams, holds in stopped_host_denies (new, passed before as well) and stream_search::departed_agent_skipped (unchanged).

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -338,9 +338,10 @@
     }
 
     /// Whether the agent knows every stream that its backend server may hold, and so can deny
-    /// others.
+    /// others. One that has stopped holds none.
     fn knows_all_streams(&self, now: ids::UnixMillis) -> bool {
         let is_old = now.since(self.started) > self.config.stream_limit_s * 1_000;
-        self.has_seen_all_openings || is_old
+        let has_stopped = self.phase(now) == host::HostPhase::Gone;
+        self.has_seen_all_openings || is_old || has_stopped
     }
 }
--- /dev/null
+++ b/crates/core/src/stream/agent_table/exclusion.rs
@@ -0,0 +1,90 @@
+//! Which agents a search leaves out, and on what evidence.
+//!
+//! A search resets a stream once every agent that it waited for has denied it. So an agent is left out
+//! only with evidence that its backend server holds no stream of the service at this moment. A report
+//! is such evidence only about the past: the backend server may have started after it, and the report
+//! of that may be lost.
+//!
+//! | the agent | left out if |
+//! |---|---|
+//! | in a data centre that no balancer hears from | always |
+//! | whose last known service is another one | always |
+//! | whose reports arrive | never |
+//! | whose reports have stopped | its backend server had stopped before, and nobody has heard from it since |
+//! | that has never reported here | its machine is presumed lost |
+
+/// Why a search leaves an agent out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SearchExclusion {
+    /// Its data centre is lost.
+    CentreLost,
+    /// Its backend server belongs to another service.
+    OtherService,
+    /// Its backend server had stopped, and then the agent.
+    Departed,
+    /// It never reported, and its machine is presumed lost.
+    MachineLost,
+}
+
+impl SearchExclusion {
+    /// Whether the agent is silent, so that it may return with streams if it was taken for lost by
+    /// mistake.
+    pub fn is_presumed(self) -> bool {
+        match self {
+            SearchExclusion::OtherService => false,
+            SearchExclusion::CentreLost
+            | SearchExclusion::Departed
+            | SearchExclusion::MachineLost => true,
+        }
+    }
+}
+
+/// How a balancer hears from an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AgentContact {
+    /// Its reports arrive.
+    Reporting,
+    /// It has reported, and its reports no longer arrive.
+    Silent {
+        /// Whether its backend server had stopped by its last report.
+        host_had_stopped: bool,
+        /// Whether another balancer has heard from it since.
+        is_heard_elsewhere: bool,
+    },
+    /// It has never reported here, or its report has expired.
+    Unreported {
+        /// Whether its machine is presumed lost.
+        is_machine_lost: bool,
+    },
+}
+
+/// What a balancer knows of an agent when a search for a stream of some service begins.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgentEvidence {
+    /// How the balancer hears from it.
+    pub contact: AgentContact,
+    /// Whether its data centre is lost.
+    pub is_in_lost_centre: bool,
+    /// Whether its last known service is another one, and nothing contradicts that.
+    pub is_of_other_service: bool,
+}
+
+impl AgentEvidence {
+    /// Why a search leaves the agent out; `None` if it must deny the stream before a reset.
+    pub fn exclusion(self) -> Option<SearchExclusion> {
+        match self.contact {
+            _ if self.is_in_lost_centre => Some(SearchExclusion::CentreLost),
+            _ if self.is_of_other_service => Some(SearchExclusion::OtherService),
+            // A backend server that has stopped may have started again since the last report.
+            AgentContact::Reporting => None,
+            AgentContact::Silent { host_had_stopped: true, is_heard_elsewhere: false } => {
+                Some(SearchExclusion::Departed)
+            }
+            AgentContact::Silent { .. } => None,
+            AgentContact::Unreported { is_machine_lost: true } => {
+                Some(SearchExclusion::MachineLost)
+            }
+            AgentContact::Unreported { is_machine_lost: false } => None,
+        }
+    }
+}
--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -6,6 +6,7 @@
 
 use crate::ids;
 use crate::stream::agent_table;
+use crate::stream::agent_table::exclusion;
 use crate::stream::agent_table::subscriptions;
 use crate::stream::host;
 
@@ -26,8 +27,8 @@
 pub struct PossibleHolders {
     /// Their addresses.
     pub agents: Vec<net::SocketAddrV4>,
-    /// Whether some were left out because they are presumed lost.
-    pub has_presumed_lost: bool,
+    /// How many silent agents were left out because they are presumed to hold no stream.
+    pub presumed_gone: usize,
     /// Whether all announced members were known when these agents were listed.
     pub knows_all_members: bool,
 }
@@ -115,7 +116,7 @@
         silent.map(|(centre, _)| centre).collect()
     }
 
-    /// The agents that may hold a stream of a service, without those in lost data centres.
+    /// The agents that may hold a stream of a service.
     pub fn holders(
         &self,
         service: Option<ids::ServiceId>,
@@ -124,27 +125,57 @@
     ) -> PossibleHolders {
         let mut holders = PossibleHolders::default();
         for (address, known) in &self.agents {
-            let phase = known.report.as_ref().map(|report| report.phase);
-            // An agent that started at a reused address may hold streams of the new service before
-            // its reports arrive here.
-            let is_reused = known.is_service_disputed;
-            let is_of_another =
-                |service| !is_reused && known.service.is_some_and(|of| of != service);
-            let is_in_lost_centre =
-                known.data_centre.is_some_and(|centre| lost_centres.contains(&centre));
-            match phase {
-                // Its backend server has terminated, and all its streams with it.
-                Some(host::HostPhase::Gone) if !is_reused => {}
-                _ if service.is_some_and(is_of_another) => {}
-                _ if is_in_lost_centre => holders.has_presumed_lost = true,
-                None if self.is_presumed_lost(known, now) => holders.has_presumed_lost = true,
-                // An agent of unknown service may belong to this one.
-                _ => holders.agents.push(*address),
+            match self.evidence(known, service, lost_centres, now).exclusion() {
+                None => holders.agents.push(*address),
+                Some(exclusion) => holders.presumed_gone += usize::from(exclusion.is_presumed()),
             }
         }
         holders
     }
 
+    fn evidence(
+        &self,
+        known: &agent_table::KnownAgent,
+        service: Option<ids::ServiceId>,
+        lost_centres: &collections::BTreeSet<u32>,
+        now: ids::UnixMillis,
+    ) -> exclusion::AgentEvidence {
+        // An agent of unknown service may belong to this one.
+        let is_other = |service| known.service.is_some_and(|of| of != service);
+        exclusion::AgentEvidence {
+            contact: self.contact(known, now),
+            is_in_lost_centre: known.data_centre.is_some_and(|of| lost_centres.contains(&of)),
+            is_of_other_service: !known.is_service_disputed && service.is_some_and(is_other),
+        }
+    }
+
+    fn contact(
+        &self,
+        known: &agent_table::KnownAgent,
+        now: ids::UnixMillis,
+    ) -> exclusion::AgentContact {
+        match &known.report {
+            Some(_) if self.is_reachable(known, now) => exclusion::AgentContact::Reporting,
+            Some(report) => exclusion::AgentContact::Silent {
+                host_had_stopped: report.phase == host::HostPhase::Gone,
+                is_heard_elsewhere: known.is_service_disputed || self.is_heard_elsewhere(known),
+            },
+            None => exclusion::AgentContact::Unreported {
+                is_machine_lost: self.is_presumed_lost(known, now),
+            },
+        }
+    }
+
+    /// Whether another balancer has heard from an agent after its last report here.
+    ///
+    /// Others mention an agent until its reports have timed out there, so their mentions go on for a
+    /// while after its last report to anyone.
+    fn is_heard_elsewhere(&self, known: &agent_table::KnownAgent) -> bool {
+        let reports = self.policy.reports;
+        let mentions_end_ms = u64::from(reports.far_ms) + reports.timeout_ms(false);
+        known.machine.last_mention() > known.last_report.plus(mentions_end_ms)
+    }
+
     /// Whether an agent without a report is presumed lost: its machine is down, or it has been
     /// silent for longer than a restart takes.
     ///
--- a/crates/core/src/stream/agent_table/mod.rs
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! | module | decides |
 //! |---|---|
+//! | [`exclusion`] | which agents a search leaves out, and on what evidence |
 //! | [`liveness`] | which agents may still hold streams |
 //! | [`placement`] | which agent a new stream goes to |
 //! | [`subscriptions`] | which agents report to this balancer |
 
+pub mod exclusion;
 pub mod liveness;
 pub mod placement;
 pub mod subscriptions;
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -95,14 +95,14 @@
             knows_all_members,
             ..self.table.holders(service, &self.lost_centres, now)
         };
-        let asked = holders.agents.len();
         let outcome = self.searches.enqueue(key, service, &holders, segment, now);
         if outcome != lookup::EnqueueOutcome::Started {
             return;
         }
         actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::Searched {
             stream: key,
-            asked,
+            asked: holders.agents.len(),
+            presumed_gone: holders.presumed_gone,
         }));
         for agent in holders.agents {
             let caller_expects = segment.head.acknowledged;
@@ -278,8 +278,8 @@
         };
         let owner = owners::StreamOwner {
             candidates,
-            // An agent presumed lost may be back by the time the candidates deny the stream.
-            search: match search.is_complete && !search.has_presumed_lost {
+            // An agent presumed gone may be back by the time the candidates deny the stream.
+            search: match search.is_complete && search.presumed_gone == 0 {
                 true => owners::SearchState::Complete,
                 false => owners::SearchState::Incomplete,
             },
--- a/crates/core/src/stream/log_event.rs
+++ b/crates/core/src/stream/log_event.rs
@@ -97,6 +97,8 @@
         stream: segment::StreamKey,
         /// How many agents were queried.
         asked: usize,
+        /// How many silent agents were not queried because they are presumed to hold no stream.
+        presumed_gone: usize,
     },
     /// A search found the holder of a stream.
     Found {
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -37,8 +37,8 @@
     pub began: ids::UnixMillis,
     /// How many agents were queried.
     pub asked: usize,
-    /// Whether other agents were not queried because they are presumed lost.
-    pub has_presumed_lost: bool,
+    /// How many other agents were not queried because they are presumed to hold no stream.
+    pub presumed_gone: usize,
     /// Whether every agent that may hold the stream was known at the start; agents that become known
     /// later are not queried.
     pub knows_all_members: bool,
@@ -130,7 +130,7 @@
                     service,
                     began: now,
                     asked: holders.agents.len(),
-                    has_presumed_lost: holders.has_presumed_lost,
+                    presumed_gone: holders.presumed_gone,
                     knows_all_members: holders.knows_all_members,
                     denied,
                     unsure,
--- a/crates/core/tests/address_reused.rs
+++ b/crates/core/tests/address_reused.rs
@@ -68,7 +68,10 @@
     world.start_balancer(1);
     world.advance(2);
     for _ in 0..8 {
-        world.send(key);
+        // A caller that was reset sends nothing more.
+        if world.view(key).resets == 0 {
+            world.send(key);
+        }
         world.advance(world::HOST_REPORT_MS);
     }
     assert_eq!(world.host(1).unheld_segments, 0);
--- /dev/null
+++ b/crates/core/tests/search_exclusions.rs
@@ -0,0 +1,95 @@
+//! Agents that a search leaves out: a stream is reset once all others have denied it, so none that may
+//! hold it may be missing, and none that is gone may be waited for.
+//!
+//! The comment of each test names the failure that it guards against.
+
+mod stream_world;
+
+use rosemaryusher_core::stream::segment;
+
+use stream_world as world;
+
+/// Backend servers of the world.
+const HOSTS: u8 = 4;
+
+/// The agent whose backend server starts late.
+const LATE: u8 = HOSTS;
+
+/// A world in which the backend server of [`LATE`] has stopped, as both balancers know from its agent.
+fn world_with_stopped_host() -> world::StreamWorld {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    world.leave_host(LATE);
+    world.advance(500);
+    world
+}
+
+/// Starts the stopped backend server and opens a stream there through the second balancer.
+fn open_at_late_host(world: &mut world::StreamWorld) -> segment::StreamKey {
+    world.start_host(LATE, "wallet", 4);
+    world.advance(10);
+    open_at(world, LATE, 0)
+}
+
+/// Opens a stream at this backend server through the second balancer; its caller then moves to the first.
+fn open_at(world: &mut world::StreamWorld, nth: u8, entry: u16) -> segment::StreamKey {
+    world.entry_balancer = world::balancer_address(2);
+    let open = |caller: &u16| {
+        let key = world::key(*caller, entry);
+        world.open(key, 0);
+        world.advance(10);
+        world.holders(key) == [nth]
+    };
+    let caller = (1..100).find(open).expect("a stream opens at the backend server");
+    world.entry_balancer = world::balancer_address(1);
+    world::key(caller, entry)
+}
+
+/// Checks that a stream is not reset now, and answers once the link from its agent works again.
+fn check_kept(world: &mut world::StreamWorld, key: segment::StreamKey) {
+    world.send(key);
+    world.advance(200);
+    assert_eq!(world.view(key).resets, 0);
+    world.blocked_links.clear();
+    world.advance(1_100);
+    world.repeat(key);
+    world.advance(100);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+}
+
+/// A balancer that missed one report of an agent whose backend server has started takes the one before,
+/// that none runs, for the present state, and resets a stream that is open there.
+#[test]
+fn report_of_start_lost() {
+    let mut world = world_with_stopped_host();
+    world.blocked_links.insert((world::agent_address(LATE), world::balancer_address(1)));
+    let key = open_at_late_host(&mut world);
+    check_kept(&mut world, key);
+}
+
+/// The same, while no report of the agent arrives here and another balancer mentions that it runs.
+#[test]
+fn start_mentioned() {
+    let mut world = world_with_stopped_host();
+    world.blocked_links.insert((world::agent_address(LATE), world::balancer_address(1)));
+    world.advance(3_000);
+    let key = open_at_late_host(&mut world);
+    check_kept(&mut world, key);
+}
+
+/// An agent reports that its backend server has stopped and goes on reporting: its denial is waited for in
+/// vain, or the segment is delivered to no one, and the caller of a dead stream gets no reset.
+#[test]
+fn stopped_host_denies() {
+    let mut world = world_with_stopped_host();
+    world.entry_balancer = world::balancer_address(1);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    world.crash_host(holder);
+    world.start_balancer(1);
+    world.advance(300);
+    world.send(key);
+    world.advance(10);
+    assert_eq!(world.view(key).resets, 1);
+}
