An agent that is away on a running machine is no longer presumed lost

Cause: an announced agent that had never reported to a balancer counted as lost after recovery.lost_ms (2 s), whether or not its machine answered probes and other balancers heard from it.

Change: silence alone is no evidence. The agent is presumed lost after that time only if its machine has left two probes unanswered and no other balancer mentions it, or if this balancer started in a power loss, in which the streams of silent agents have ended as well. Once presumed lost it stays so until it reports or is mentioned. Machines of agents outside the subscriptions are probed too, once nobody has mentioned them for 10 s.

search_exclusions::long_restart and mentioned_agent_unheard failed before ("is reset but open"). What is given up: without a power loss, callers of dead streams are not reset through a balancer that started while a machine has lost its agent for good, until that agent is forgotten after 30 s.

--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -34,21 +34,21 @@
 }
 
 impl agent_table::AgentTable {
-    /// The agents whose machines must be probed now: subscribed ones that have never reported, once
-    /// the majority of agents is reachable.
+    /// The agents whose machines must be probed now: those that have never reported and that nobody
+    /// mentions, once the majority of agents is reachable.
     pub fn take_due_probes(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
         if !self.reaches_majority() {
             return Vec::new();
         }
-        let mut due = Vec::new();
-        let unreported = self.agents.iter_mut().filter(|(_, known)| {
-            let since = known.subscribed.map(|since| since.max(known.last_report));
-            let is_due = since.is_some_and(|since| known.machine.is_probe_due(since, now));
-            known.report.is_none() && is_due
-        });
-        for (agent, known) in unreported.take(MAX_PROBES_PER_TICK) {
-            known.machine.on_probe(now);
-            due.push(*agent);
+        let is_due = |known: &agent_table::KnownAgent| {
+            known.report.is_none() && known.machine.is_probe_due(self.expected_since(known), now)
+        };
+        let due = self.agents.iter().filter(|(_, known)| is_due(known));
+        let due: Vec<_> = due.map(|(address, _)| *address).take(MAX_PROBES_PER_TICK).collect();
+        for agent in &due {
+            if let Some(known) = self.agents.get_mut(agent) {
+                known.machine.on_probe(now);
+            }
         }
         due
     }
@@ -71,6 +71,7 @@
         if !self.reaches_majority() {
             self.on_contact_lost(now);
         }
+        self.mark_lost_agents(now);
         let mut silent = Vec::new();
         let (data_centre, reports) = (self.data_centre, self.policy.reports);
         for (address, known) in &mut self.agents {
@@ -88,6 +89,22 @@
         silent
     }
 
+    /// Marks the agents that are presumed lost. They stay so until they report or are mentioned, since
+    /// the signs of a power loss fade as backend servers grow older.
+    fn mark_lost_agents(&mut self, now: ids::UnixMillis) {
+        let is_after_power_loss = self.is_after_power_loss(now);
+        let is_lost = |known: &agent_table::KnownAgent| {
+            known.report.is_none() && self.is_silence_final(known, is_after_power_loss, now)
+        };
+        let lost = self.agents.iter().filter(|(_, known)| is_lost(known));
+        let lost: Vec<_> = lost.map(|(address, _)| *address).collect();
+        for agent in &lost {
+            if let Some(known) = self.agents.get_mut(agent) {
+                known.presumed_lost = Some(now);
+            }
+        }
+    }
+
     /// Records that this balancer itself was paused or unreachable, so that missing reports are no
     /// evidence against agents.
     ///
@@ -158,38 +175,58 @@
             Some(_) if self.is_reachable(known, now) => exclusion::AgentContact::Reporting,
             Some(report) => exclusion::AgentContact::Silent {
                 host_had_stopped: report.phase == host::HostPhase::Gone,
-                is_heard_elsewhere: known.is_service_disputed || self.is_heard_elsewhere(known),
-            },
-            None => exclusion::AgentContact::Unreported {
-                is_machine_lost: self.is_presumed_lost(known, now),
+                is_heard_elsewhere: known.is_service_disputed
+                    || self.is_heard_elsewhere(known, known.last_report),
             },
+            None => {
+                let is_unheard = |since: ids::UnixMillis| known.machine.last_mention() <= since;
+                let is_machine_lost = known.presumed_lost.is_some_and(is_unheard);
+                exclusion::AgentContact::Unreported { is_machine_lost }
+            }
         }
     }
 
-    /// Whether another balancer has heard from an agent after its last report here.
+    /// Whether another balancer has heard from an agent after this time, at which it last reported here
+    /// or should have begun to.
     ///
-    /// Others mention an agent until its reports have timed out there, so their mentions go on for a
-    /// while after its last report to anyone.
-    fn is_heard_elsewhere(&self, known: &agent_table::KnownAgent) -> bool {
+    /// Others mention an agent until its reports have timed out there, so mentions go on for a while
+    /// after its last report to anyone.
+    fn is_heard_elsewhere(&self, known: &agent_table::KnownAgent, since: ids::UnixMillis) -> bool {
         let reports = self.policy.reports;
         let mentions_end_ms = u64::from(reports.far_ms) + reports.timeout_ms(false);
-        known.machine.last_mention() > known.last_report.plus(mentions_end_ms)
+        known.machine.last_mention() > since.plus(mentions_end_ms)
     }
 
-    /// Whether an agent without a report is presumed lost: its machine is down, or it has been
-    /// silent for longer than a restart takes.
+    /// Since when an agent without a report has neither reported nor been mentioned, although it should
+    /// have been.
+    fn expected_since(&self, known: &agent_table::KnownAgent) -> ids::UnixMillis {
+        let subscribed = known.subscribed.map(|subscribed| subscribed.max(known.last_report));
+        match subscribed {
+            Some(since) if self.is_heard_elsewhere(known, since) => known.machine.last_mention(),
+            Some(since) => since,
+            None => known.last_seen().plus(subscriptions::MENTION_TIMEOUT_MS),
+        }
+    }
+
+    /// Whether the silence of an agent without a report shows that it is lost.
     ///
-    /// A machine behind a network partition looks like one without power, but its streams may be
-    /// open. So a failed probe counts only after a power loss, when most backend servers have
-    /// started together with this balancer.
-    fn is_presumed_lost(&self, known: &agent_table::KnownAgent, now: ids::UnixMillis) -> bool {
+    /// While its agent restarts, a running machine answers probes, and its backend server keeps its
+    /// streams. A machine behind a network partition looks like one without power, but its streams may
+    /// be open. So a failed probe alone counts only after a power loss, when most backend servers have
+    /// started together with this balancer; then streams of silent agents are dead as well.
+    fn is_silence_final(
+        &self,
+        known: &agent_table::KnownAgent,
+        is_after_power_loss: bool,
+        now: ids::UnixMillis,
+    ) -> bool {
         let lost_ms = u64::from(self.policy.recovery.lost_ms);
-        let (since, limit_ms) = match known.subscribed {
-            Some(subscribed) => (known.last_report.max(subscribed), lost_ms),
-            None => (known.last_seen(), subscriptions::MENTION_TIMEOUT_MS + lost_ms),
-        };
-        let is_overdue = now.since(since.max(self.contact_since)) > limit_ms;
-        is_overdue || (known.machine.is_gone(now) && self.is_after_power_loss(now))
+        let since = self.expected_since(known).max(self.contact_since);
+        let is_overdue = now.since(since) > lost_ms;
+        match known.machine.is_gone(now) {
+            true => is_overdue || is_after_power_loss,
+            false => is_overdue && is_after_power_loss,
+        }
     }
 
     /// Whether at least half of the subscribed agents are reachable and have backend servers that
--- a/crates/core/src/stream/agent_table/mod.rs
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -52,6 +52,8 @@
     /// Openings sent there since its last report.
     pub(super) openings_since_report: u32,
     machine: machine::MachineLiveness,
+    /// When it was last presumed lost, if it has not reported since.
+    presumed_lost: Option<ids::UnixMillis>,
 }
 
 impl KnownAgent {
@@ -271,5 +273,6 @@
         is_reachable: false,
         openings_since_report: 0,
         machine: machine::MachineLiveness::default(),
+        presumed_lost: None,
     }
 }
--- a/crates/core/src/stream/policy.rs
+++ b/crates/core/src/stream/policy.rs
@@ -113,11 +113,11 @@
     ///
     /// Each probe is a connection to the backend server.
     pub host_probe_ms: u32,
-    /// How long an announced agent that has never reported counts as a possible holder of streams, in
-    /// milliseconds.
+    /// How long an announced agent that has never reported counts as a possible holder of streams although
+    /// its machine leaves probes unanswered, in milliseconds.
     ///
     /// Machines that are lost leave their announcements behind, and callers of dead streams cannot be
-    /// reset while such an agent counts. Must be longer than a planned restart of an agent.
+    /// reset while such an agent counts. Must be longer than a machine takes to start.
     pub lost_ms: u32,
     /// How many backend servers are probed with a segment of a stream at the same time.
     ///
--- a/crates/core/tests/search_exclusions.rs
+++ b/crates/core/tests/search_exclusions.rs
@@ -18,6 +18,9 @@
 /// The entry of the service `preview`.
 const PREVIEW: u16 = 5;
 
+/// How long an agent is away in a long planned restart, in milliseconds; longer than `recovery.lost_ms`.
+const LONG_RESTART_MS: u64 = 3_000;
+
 /// A world in which the backend server of [`LATE`] has stopped, as both balancers know from its agent.
 fn world_with_stopped_host() -> world::StreamWorld {
     let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
@@ -97,6 +100,45 @@
     assert_eq!(world.view(key).resets, 1);
 }
 
+/// A balancer that starts while an agent is away for a long planned restart takes it for lost, though its
+/// machine answers probes, and resets a stream that is open there.
+#[test]
+fn long_restart() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    world.remove_agent(holder);
+    world.start_balancer(1);
+    world.advance(LONG_RESTART_MS);
+    world.send(key);
+    world.advance(200);
+    assert_eq!(world.view(key).resets, 0);
+    world.start_agent(holder, "wallet");
+    world.advance(200);
+    world.repeat(key);
+    world.advance(100);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+}
+
+/// A balancer takes an agent whose reports it has never received for lost, though another balancer
+/// mentions that it runs.
+#[test]
+fn mentioned_agent_unheard() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let agent = world::agent_address(holder);
+    world.blocked_links.insert((agent, world::balancer_address(1)));
+    world.powered_off.insert(agent);
+    world.start_balancer(1);
+    world.advance(LONG_RESTART_MS);
+    check_kept(&mut world, key);
+}
+
 /// The address of a stopped backend server goes to another service with a new agent, whose reports don't
 /// arrive here: the former report leaves it out of a search, and an open stream is reset.
 #[test]
@@ -114,3 +156,20 @@
     let key = open_at(&mut world, LATE, PREVIEW);
     check_kept(&mut world, key);
 }
+
+/// After a power loss, an agent that never reports is waited for again once backend servers no longer
+/// report that they have just started, although its machine lives on without it.
+#[test]
+fn machine_without_agent() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    world.host(HOSTS).is_hung = true;
+    world.remove_agent(HOSTS);
+    world.restart_after_power_loss(1..HOSTS);
+    world.advance(10_000);
+    world.send(key);
+    world.advance(10);
+    assert_eq!(world.view(key).resets, 1);
+}
