A search counts the answer of each agent once

Callers would have seen: an open stream is reset though the answer of the agent that holds it was lost. Found by reading what makes a search count as complete; not reported by a user.

Cause: a search counted denials without keeping whose they were. One that the network duplicates, or that answers an earlier search for the same stream, stood for the missing answer of another agent. Change: a search keeps who has not answered, and ignores answers of all others. search_exclusions::denial_repeated failed before ("is reset but open").

--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -37,6 +37,8 @@
     pub began: ids::UnixMillis,
     /// How many agents were queried.
     pub asked: usize,
+    /// Queried agents that have not answered.
+    unanswered: Vec<net::SocketAddrV4>,
     /// How many other agents were not queried because they are presumed to hold no stream.
     pub presumed_gone: usize,
     /// Whether every agent that may hold the stream was known at the start; agents that become known
@@ -60,7 +62,7 @@
 impl OwnerSearch {
     /// Whether every queried agent has answered.
     pub fn is_answered(&self) -> bool {
-        self.denied + self.unsure.len() >= self.asked
+        self.unanswered.is_empty()
     }
 
     /// Whether backend servers are being probed with the first segment.
@@ -130,6 +132,7 @@
                     service,
                     began: now,
                     asked: holders.agents.len(),
+                    unanswered: holders.agents.clone(),
                     presumed_gone: holders.presumed_gone,
                     knows_all_members: holders.knows_all_members,
                     denied,
@@ -147,6 +150,9 @@
 
     /// Records the answer of an agent that does not hold the stream or cannot tell; returns the search
     /// if this was the last answer.
+    ///
+    /// An answer that arrives twice, or that an earlier search for the stream has asked for, must not
+    /// stand for the one of another agent.
     pub fn on_absent(
         &mut self,
         key: segment::StreamKey,
@@ -154,6 +160,8 @@
         is_sure: bool,
     ) -> Option<OwnerSearch> {
         let search = self.searches.get_mut(&key).filter(|search| !search.is_probing())?;
+        let place = search.unanswered.iter().position(|unanswered| *unanswered == agent)?;
+        search.unanswered.swap_remove(place);
         match is_sure {
             true => search.denied += 1,
             false => search.unsure.push(agent),
--- a/crates/core/tests/search_exclusions.rs
+++ b/crates/core/tests/search_exclusions.rs
@@ -5,6 +5,8 @@
 
 mod stream_world;
 
+use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::segment;
 
 use stream_world as world;
@@ -139,6 +141,28 @@
     check_kept(&mut world, key);
 }
 
+/// A denial that arrives twice stands for the missing answer of another agent, and an open stream is reset.
+#[test]
+fn denial_repeated() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let other = if holder == 1 { 2 } else { 1 };
+    world.start_balancer(1);
+    world.advance(300);
+    world.blocked_links.insert((world::agent_address(holder), world::balancer_address(1)));
+    world.send(key);
+    world.advance(1);
+    let message = message::StreamMessage::Absent { key, is_sure: true };
+    let from = world::agent_address(other);
+    let repeated = stream::StreamEvent::Message { from, message: &message, head: None };
+    world.handle(world::balancer_address(1), repeated);
+    world.advance(20);
+    check_kept(&mut world, key);
+}
+
 /// The address of a stopped backend server goes to another service with a new agent, whose reports don't
 /// arrive here: the former report leaves it out of a search, and an open stream is reset.
 #[test]
