A search with missing answers is suspended and forgets no agent

Cause: a search that ended without an outcome kept as possible holders only agents that had answered. The one that was being restarted and had not answered, the stream's own, was left out of what followed. If one of the others was stopped before its backend server had returned the probe, it became the holder; what it returned was dropped, and if it stayed away nothing ended that. Each search probed anew all who had returned the segment before.

Change: a search in which answers are missing is suspended. The caller's next segment queries those who have not denied the stream, an agent that returns is queried at once, and late answers count. Nobody is probed twice. It ends with a reset, or with the candidates that remain, only when all have answered; it is given up 2 s after the caller's last segment. It keeps one segment and makes room when there are too many.

--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -228,8 +228,9 @@
     }
 
     fn tick(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
-        for (key, search) in self.searches.expire(now) {
-            self.probe_or_end_search(key, search, now, actions);
+        let width = self.config.policy.recovery.search_width;
+        for (key, step) in self.searches.expire(width, now) {
+            self.apply_search_step(key, step, now, actions);
         }
         for agent in self.table.sweep(now) {
             let known = self.table.get(agent).and_then(|known| known.report.as_ref());
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -64,6 +64,7 @@
                 phase: report.phase,
                 is_reachable: true,
             }));
+            self.ask_returned_agent(from, actions);
         }
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -96,16 +96,35 @@
             ..self.table.holders(service, &self.lost_centres, now)
         };
         let outcome = self.searches.enqueue(key, service, &holders, segment, now);
-        if outcome != lookup::EnqueueOutcome::Started {
-            return;
-        }
+        let lookup::EnqueueOutcome::Ask { ask, candidates } = outcome else { return };
         actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::Searched {
             stream: key,
-            asked: holders.agents.len(),
+            asked: ask.len(),
             presumed_gone: holders.presumed_gone,
         }));
-        for agent in holders.agents {
-            let caller_expects = segment.head.acknowledged;
+        let is_anyone_asked = !ask.is_empty();
+        let caller_expects = segment.head.acknowledged;
+        for agent in ask {
+            let find = message::StreamMessage::Find { key, caller_expects };
+            actions.push(stream::StreamAction::Send(agent, find));
+        }
+        for agent in candidates {
+            self.forward_segment(agent, message::CarryKind::Probe, segment.bytes, actions, key);
+        }
+        if !is_anyone_asked {
+            let width = self.config.policy.recovery.search_width;
+            let step = self.searches.advance(key, width, now);
+            self.apply_search_step(key, step, now, actions);
+        }
+    }
+
+    /// Queries an agent that has returned for the streams whose searches lack its answer.
+    pub(super) fn ask_returned_agent(
+        &self,
+        agent: net::SocketAddrV4,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        for (key, caller_expects) in self.searches.waiting_for(agent) {
             let find = message::StreamMessage::Find { key, caller_expects };
             actions.push(stream::StreamAction::Send(agent, find));
         }
@@ -121,32 +140,38 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if self.continue_probe(from, key, now, actions) {
-            return;
-        }
-        if let Some(search) = self.searches.on_absent(key, from, is_sure) {
-            self.probe_or_end_search(key, search, now, actions);
-        }
+        let width = self.config.policy.recovery.search_width;
+        let step = self.searches.on_absent(key, from, is_sure, width, now);
+        self.apply_search_step(key, step, now, actions);
     }
 
-    /// Continues a probing search after a backend server returned the segment; returns false if there is no
-    /// such search.
-    fn continue_probe(
+    /// Carries out what follows from an answer, a returned probe or a timeout of a search.
+    pub(super) fn apply_search_step(
         &mut self,
-        from: net::SocketAddrV4,
         key: segment::StreamKey,
+        step: lookup::SearchStep,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
-    ) -> bool {
-        match self.searches.on_returned(key, from) {
-            lookup::ProbeOutcome::NotProbing => return false,
-            lookup::ProbeOutcome::Pending => {}
-            lookup::ProbeOutcome::Next(agent, bytes) => {
-                self.forward_segment(agent, message::CarryKind::Probe, &bytes, actions, key);
+    ) {
+        match step {
+            lookup::SearchStep::Pending => {}
+            lookup::SearchStep::Probe(agents, segment) => {
+                for agent in agents {
+                    let kind = message::CarryKind::Probe;
+                    self.forward_segment(agent, kind, &segment, actions, key);
+                }
+            }
+            lookup::SearchStep::Concluded(search) => {
+                self.conclude_search(key, &search, now, actions);
+            }
+            lookup::SearchStep::GivenUp(search) => {
+                actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::NotFound {
+                    stream: key,
+                    asked: search.denials() + search.missing_answers() + search.candidates().len(),
+                    denied: search.denials(),
+                }));
             }
-            lookup::ProbeOutcome::Exhausted(search) => self.end_search(key, search, now, actions),
         }
-        true
     }
 
     /// Forwards a segment to the next possible holder after one returned it, or resets or searches for
@@ -159,8 +184,9 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        if self.continue_probe(from, key, now, actions) {
-            return;
+        let width = self.config.policy.recovery.search_width;
+        if let Some(step) = self.searches.on_returned(key, from, Some(segment.bytes), width, now) {
+            return self.apply_search_step(key, step, now, actions);
         }
         let Some(owner) = self.owners.touch(key) else { return };
         owner.remove_holder(from);
@@ -181,9 +207,6 @@
                 let expected = segment.head.acknowledged;
                 self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
             }
-            // Searching again at once could forward the segment from host to host without end; the
-            // caller repeats it with a growing delay.
-            None if search == owners::SearchState::Incomplete => self.owners.remove(key),
             None => {
                 self.owners.remove(key);
                 let service = self.service_at(key);
@@ -217,77 +240,36 @@
                 stream: key,
                 agent: from,
             }));
-            let already_forwarded = usize::from(search.probed.contains(&from));
-            for segment in search.waiting.iter().skip(already_forwarded) {
+            for segment in search.segments_for(from) {
                 self.forward_segment(from, message::CarryKind::Held, segment, actions, key);
             }
         }
     }
 
-    /// Probes the agents that could not tell, or ends a search in which no agent confirmed the stream.
-    ///
-    /// An agent that started later than its backend server can only tell by delivering the segment.
-    pub(super) fn probe_or_end_search(
-        &mut self,
-        key: segment::StreamKey,
-        mut search: lookup::OwnerSearch,
-        now: ids::UnixMillis,
-        actions: &mut Vec<stream::StreamAction>,
-    ) {
-        if search.is_probing() {
-            return self.end_search(key, search, now, actions);
-        }
-        search.is_complete = search.knows_all_members && search.is_answered() && search.asked > 0;
-        if search.unsure.is_empty() {
-            return self.end_search(key, search, now, actions);
-        }
-        let Some(segment) = search.waiting.first().cloned() else { return };
-        let width = self.config.policy.recovery.search_width;
-        for agent in self.searches.probe(key, search, width, now) {
-            self.forward_segment(agent, message::CarryKind::Probe, &segment, actions, key);
-        }
-    }
-
-    /// Ends a search without a confirmed holder: keeps the agents that may still hold the stream as
-    /// candidates, or resets the stream if every announced agent has denied it.
+    /// Ends a search that all agents, or all but the candidates, have denied: keeps the candidates as
+    /// possible holders, or resets the stream if there are none.
     ///
     /// The reset lets the caller retry before its deadline. It is safe because each process announces
     /// itself before it reads the list of members, so of any two at least one knows the other.
-    fn end_search(
+    fn conclude_search(
         &mut self,
         key: segment::StreamKey,
-        search: lookup::OwnerSearch,
+        search: &lookup::OwnerSearch,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        // Agents still being probed already have the first segment.
-        let already_forwarded = usize::from(search.is_probing());
-        let mut candidates = search.unsure;
-        candidates.extend(search.probed);
-        let Some(agent) = candidates.pop() else {
-            if search.is_complete {
-                let expected = search.caller_expects;
-                return self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
-            }
-            actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::NotFound {
-                stream: key,
-                asked: search.asked,
-                denied: search.denied,
-            }));
-            return;
+        let Some((agent, candidates)) = search.candidates().split_last() else {
+            let expected = search.caller_expects;
+            return self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
         };
         let owner = owners::StreamOwner {
-            candidates,
-            // An agent presumed gone may be back by the time the candidates deny the stream.
-            search: match search.is_complete && search.presumed_gone == 0 {
-                true => owners::SearchState::Complete,
-                false => owners::SearchState::Incomplete,
-            },
-            ..owners::StreamOwner::held_by(agent, now)
+            candidates: candidates.to_vec(),
+            search: owners::SearchState::Complete,
+            ..owners::StreamOwner::held_by(*agent, now)
         };
         self.owners.insert(key, owner);
-        for segment in search.waiting.iter().skip(already_forwarded) {
-            self.forward_segment(agent, message::CarryKind::Probe, segment, actions, key);
+        for segment in search.segments_for(*agent) {
+            self.forward_segment(*agent, message::CarryKind::Probe, segment, actions, key);
         }
     }
 }
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -28,76 +28,218 @@
 /// beyond it are dropped, and their callers retransmit them.
 const MAX_SEARCHES: usize = 2_000;
 
+/// How long a search without an outcome is kept after the caller's last segment, in milliseconds; longer
+/// than the 1.6 s after which callers retransmit at the latest.
+const SUSPENSION_MS: u64 = 2_000;
+
+/// The maximum number of suspended searches that go on when an agent returns, which bounds the queries
+/// that it gets at once.
+const MAX_RESUMED_SEARCHES: usize = 100;
+
+/// The phase of a search.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SearchPhase {
+    /// Agents are queried.
+    Asking,
+    /// Backend servers of agents that cannot tell are probed with the first segment.
+    Probing,
+    /// Not all agents have answered in time; their answers still count, and the caller's next segment
+    /// queries them again.
+    Suspended,
+}
+
 /// A search for the owner of one stream.
+///
+/// Agents that have denied the stream are neither queried nor probed again, however often the caller
+/// repeats its segment while others are unreachable.
 #[derive(Clone, Debug)]
 pub struct OwnerSearch {
     /// The service of the stream in the configuration, if there is one.
     pub service: Option<ids::ServiceId>,
-    /// When the current phase began.
-    pub began: ids::UnixMillis,
-    /// How many agents were queried.
-    pub asked: usize,
+    phase: SearchPhase,
+    /// When the current phase began, or the caller's last segment arrived at a suspended search.
+    began: ids::UnixMillis,
+    /// How many other agents were not queried because they are presumed to hold no stream.
+    presumed_gone: usize,
+    /// Whether every agent that may hold the stream was known when agents were last queried; agents
+    /// that become known later are queried with the caller's next segment.
+    knows_all_members: bool,
+    /// Agents that do not hold the stream.
+    denied: Vec<net::SocketAddrV4>,
     /// Queried agents that have not answered.
     unanswered: Vec<net::SocketAddrV4>,
-    /// How many other agents were not queried because they are presumed to hold no stream.
-    pub presumed_gone: usize,
-    /// Whether every agent that may hold the stream was known at the start; agents that become known
-    /// later are not queried.
-    pub knows_all_members: bool,
-    /// How many agents answered that they do not hold the stream.
-    pub denied: usize,
     /// Agents that cannot tell because they started after their backend servers, which have not been
     /// probed yet.
-    pub unsure: Vec<net::SocketAddrV4>,
+    unsure: Vec<net::SocketAddrV4>,
     /// Agents whose backend servers were sent the first segment and have not returned it.
-    pub probed: Vec<net::SocketAddrV4>,
-    /// Whether all other possible holders have denied the stream.
-    pub is_complete: bool,
+    probed: Vec<net::SocketAddrV4>,
     /// The sequence number that the caller expects next.
     pub caller_expects: u32,
-    /// The caller's queued segments.
-    pub waiting: Vec<Vec<u8>>,
+    /// The caller's queued segments, the first of which probes backend servers.
+    waiting: Vec<Vec<u8>>,
 }
 
 impl OwnerSearch {
-    /// Whether every queried agent has answered.
-    pub fn is_answered(&self) -> bool {
-        self.unanswered.is_empty()
+    fn new(
+        service: Option<ids::ServiceId>,
+        caller_expects: u32,
+        now: ids::UnixMillis,
+    ) -> OwnerSearch {
+        OwnerSearch {
+            service,
+            phase: SearchPhase::Asking,
+            began: now,
+            presumed_gone: 0,
+            knows_all_members: false,
+            denied: Vec::new(),
+            unanswered: Vec::new(),
+            unsure: Vec::new(),
+            probed: Vec::new(),
+            caller_expects,
+            waiting: Vec::new(),
+        }
     }
 
-    /// Whether backend servers are being probed with the first segment.
-    pub fn is_probing(&self) -> bool {
-        !self.probed.is_empty()
+    /// Queues a segment of the caller, unless it is already queued or there is no room.
+    fn push(&mut self, bytes: &[u8]) {
+        let is_queued = self.waiting.iter().any(|queued| queued == bytes);
+        if !is_queued && self.waiting.len() < MAX_QUEUED_SEGMENTS {
+            self.waiting.push(bytes.to_vec());
+        }
     }
 
-    fn is_timed_out(&self, now: ids::UnixMillis) -> bool {
-        let limit_ms = if self.is_probing() { PROBE_TIMEOUT_MS } else { ANSWER_TIMEOUT_MS };
-        now.since(self.began) >= limit_ms
+    /// Begins a round of queries to the possible holders that have not answered; returns them.
+    fn ask(
+        &mut self,
+        holders: &liveness::PossibleHolders,
+        now: ids::UnixMillis,
+    ) -> Vec<net::SocketAddrV4> {
+        self.phase = SearchPhase::Asking;
+        self.began = now;
+        self.waiting.clear();
+        self.presumed_gone = holders.presumed_gone;
+        self.knows_all_members = holders.knows_all_members;
+        let answered = [&self.denied, &self.unsure, &self.probed];
+        let is_open =
+            |agent: &&net::SocketAddrV4| !answered.iter().any(|list| list.contains(agent));
+        self.unanswered = holders.agents.iter().filter(is_open).copied().collect();
+        self.unanswered.clone()
+    }
+
+    /// Records an answer; one that was not asked for is ignored, so that none stands for the answer of
+    /// another agent.
+    fn record_answer(&mut self, agent: net::SocketAddrV4, is_sure: bool) {
+        let take = |list: &mut Vec<net::SocketAddrV4>| {
+            let place = list.iter().position(|listed| *listed == agent);
+            place.map(|place| list.swap_remove(place)).is_some()
+        };
+        let list = match is_sure {
+            true => &mut self.denied,
+            false => &mut self.unsure,
+        };
+        if take(&mut self.unanswered) || (is_sure && take(&mut self.probed)) {
+            list.push(agent);
+        }
+    }
+
+    /// Whether all possible holders were queried, and all but the candidates have denied the stream.
+    ///
+    /// Agents presumed gone may be back by the time the candidates deny it.
+    fn is_conclusive(&self) -> bool {
+        let are_all_asked = self.knows_all_members && self.unanswered.is_empty();
+        let has_candidates = !self.probed.is_empty() || !self.unsure.is_empty();
+        are_all_asked
+            && match has_candidates {
+                true => self.presumed_gone == 0,
+                false => !self.denied.is_empty(),
+            }
+    }
+
+    /// Probes the next backend servers, up to `width` at the same time; returns their agents.
+    fn probe(&mut self, width: usize, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
+        let count = self.unsure.len().min(width);
+        let next = self.unsure.split_off(self.unsure.len() - count);
+        self.probed.extend(&next);
+        if !next.is_empty() {
+            self.phase = SearchPhase::Probing;
+            self.began = now;
+        }
+        next
+    }
+
+    /// Suspends the search until the caller repeats its segments. The first one is kept to probe the
+    /// backend servers of agents that answer late.
+    fn suspend(&mut self, now: ids::UnixMillis) {
+        self.phase = SearchPhase::Suspended;
+        self.began = now;
+        self.waiting.truncate(1);
+    }
+
+    fn timeout_ms(&self) -> u64 {
+        match self.phase {
+            SearchPhase::Asking => ANSWER_TIMEOUT_MS,
+            SearchPhase::Probing => PROBE_TIMEOUT_MS,
+            SearchPhase::Suspended => SUSPENSION_MS,
+        }
+    }
+}
+
+impl OwnerSearch {
+    /// How many agents have denied the stream.
+    pub fn denials(&self) -> usize {
+        self.denied.len()
+    }
+
+    /// How many queried agents have not answered.
+    pub fn missing_answers(&self) -> usize {
+        self.unanswered.len()
+    }
+
+    /// The segments that its holder must get: none while suspended, since the caller repeats them.
+    pub fn segments_for(&self, holder: net::SocketAddrV4) -> &[Vec<u8>] {
+        let already_forwarded = usize::from(self.probed.contains(&holder));
+        match self.phase {
+            SearchPhase::Suspended => &[],
+            SearchPhase::Asking | SearchPhase::Probing => {
+                self.waiting.get(already_forwarded..).unwrap_or_default()
+            }
+        }
+    }
+
+    /// The agents that may still hold the stream, and whose backend servers were sent its first segment.
+    pub fn candidates(&self) -> &[net::SocketAddrV4] {
+        &self.probed
     }
 }
 
 /// The outcome of queueing a segment of a stream with an unknown owner.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EnqueueOutcome {
-    /// A search has started, and the agents must be queried.
-    Started,
+    /// The agents `ask` must be queried, and the segment probes the backend servers of `candidates`,
+    /// which got the first one.
+    Ask {
+        /// The agents to query.
+        ask: Vec<net::SocketAddrV4>,
+        /// The agents whose backend servers may hold the stream.
+        candidates: Vec<net::SocketAddrV4>,
+    },
     /// The segment was added to a search in progress.
     Pending,
     /// There is no room, and the segment is dropped.
     NoRoom,
 }
 
-/// The outcome of a returned probe.
+/// What follows from an answer, a returned probe or a timeout.
 #[derive(Clone, Debug)]
-pub enum ProbeOutcome {
-    /// No probe of the stream is in progress.
-    NotProbing,
-    /// Other backend servers have not returned theirs.
+pub enum SearchStep {
+    /// Answers are missing.
     Pending,
-    /// The segment must be sent to this agent next.
-    Next(net::SocketAddrV4, Vec<u8>),
-    /// All backend servers have returned the segment.
-    Exhausted(OwnerSearch),
+    /// The first segment, given here, must be sent to the backend servers of these agents.
+    Probe(Vec<net::SocketAddrV4>, Vec<u8>),
+    /// All agents have denied the stream, or all but the candidates.
+    Concluded(OwnerSearch),
+    /// The caller has not repeated its segment, and the search ends without an outcome.
+    GivenUp(OwnerSearch),
 }
 
 /// The searches of one balancer.
@@ -107,7 +249,8 @@
 }
 
 impl OwnerSearches {
-    /// Queues a segment until the search for its stream ends, and starts the search if needed.
+    /// Queues a segment until the search for its stream ends. Starts the search if needed, and goes on
+    /// with a suspended one.
     pub fn enqueue(
         &mut self,
         key: segment::StreamKey,
@@ -116,112 +259,148 @@
         segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
     ) -> EnqueueOutcome {
-        let bytes = segment.bytes;
-        let is_full = self.searches.len() >= MAX_SEARCHES;
-        match self.searches.get_mut(&key) {
-            Some(search) if search.waiting.len() < MAX_QUEUED_SEGMENTS => {
-                search.waiting.push(bytes.to_vec());
-                EnqueueOutcome::Pending
-            }
-            Some(_) => EnqueueOutcome::NoRoom,
-            None if is_full => EnqueueOutcome::NoRoom,
-            None => {
-                let waiting = vec![bytes.to_vec()];
-                let (denied, unsure) = (0, Vec::new());
-                let search = OwnerSearch {
-                    service,
-                    began: now,
-                    asked: holders.agents.len(),
-                    unanswered: holders.agents.clone(),
-                    presumed_gone: holders.presumed_gone,
-                    knows_all_members: holders.knows_all_members,
-                    denied,
-                    unsure,
-                    probed: Vec::new(),
-                    is_complete: false,
-                    caller_expects: segment.head.acknowledged,
-                    waiting,
-                };
-                self.searches.insert(key, search);
-                EnqueueOutcome::Started
-            }
+        if !self.searches.contains_key(&key) && !self.make_room() {
+            return EnqueueOutcome::NoRoom;
+        }
+        let caller_expects = segment.head.acknowledged;
+        let search = self.searches.entry(key);
+        let is_new = matches!(search, collections::hash_map::Entry::Vacant(_));
+        let search = search.or_insert_with(|| OwnerSearch::new(service, caller_expects, now));
+        if !is_new && search.phase != SearchPhase::Suspended {
+            search.push(segment.bytes);
+            return EnqueueOutcome::Pending;
         }
+        search.caller_expects = caller_expects;
+        let ask = search.ask(holders, now);
+        search.push(segment.bytes);
+        EnqueueOutcome::Ask { ask, candidates: search.probed.clone() }
     }
 
-    /// Records the answer of an agent that does not hold the stream or cannot tell; returns the search
-    /// if this was the last answer.
-    ///
-    /// An answer that arrives twice, or that an earlier search for the stream has asked for, must not
-    /// stand for the one of another agent.
+    /// Records the answer of an agent that does not hold the stream or cannot tell.
     pub fn on_absent(
         &mut self,
         key: segment::StreamKey,
         agent: net::SocketAddrV4,
         is_sure: bool,
-    ) -> Option<OwnerSearch> {
-        let search = self.searches.get_mut(&key).filter(|search| !search.is_probing())?;
-        let place = search.unanswered.iter().position(|unanswered| *unanswered == agent)?;
-        search.unanswered.swap_remove(place);
-        match is_sure {
-            true => search.denied += 1,
-            false => search.unsure.push(agent),
-        }
-        match search.is_answered() {
-            true => self.searches.remove(&key),
-            false => None,
+        width: u32,
+        now: ids::UnixMillis,
+    ) -> SearchStep {
+        let Some(search) = self.searches.get_mut(&key) else { return SearchStep::Pending };
+        search.record_answer(agent, is_sure);
+        match search.phase {
+            SearchPhase::Asking if !search.unanswered.is_empty() => SearchStep::Pending,
+            _ => self.advance(key, width, now),
         }
     }
 
-    /// Continues a search by probing up to `width` backend servers; returns their agents.
-    pub fn probe(
+    /// Records that an agent's backend server returned a segment; returns `None` if there is no search
+    /// for its stream.
+    pub fn on_returned(
         &mut self,
         key: segment::StreamKey,
-        mut search: OwnerSearch,
+        agent: net::SocketAddrV4,
+        bytes: Option<&[u8]>,
         width: u32,
         now: ids::UnixMillis,
-    ) -> Vec<net::SocketAddrV4> {
-        search.began = now;
-        let width = search.unsure.len().min(width as usize);
-        search.probed = search.unsure.split_off(search.unsure.len() - width);
-        let probed = search.probed.clone();
-        self.searches.insert(key, search);
-        probed
+    ) -> Option<SearchStep> {
+        let search = self.searches.get_mut(&key)?;
+        if let Some(bytes) = bytes {
+            search.push(bytes);
+        }
+        Some(self.on_absent(key, agent, true, width, now))
     }
 
-    /// Records that an agent's backend server returned the segment.
-    pub fn on_returned(
+    /// The streams whose searches wait for the answer of this agent, which has returned.
+    pub fn waiting_for(&self, agent: net::SocketAddrV4) -> Vec<(segment::StreamKey, u32)> {
+        let waiting = self.searches.iter().filter(|(_, search)| {
+            search.phase != SearchPhase::Asking && search.unanswered.contains(&agent)
+        });
+        let waiting = waiting.map(|(key, search)| (*key, search.caller_expects));
+        waiting.take(MAX_RESUMED_SEARCHES).collect()
+    }
+
+    /// Ends and returns the search for a stream.
+    pub fn end(&mut self, key: segment::StreamKey) -> Option<OwnerSearch> {
+        self.searches.remove(&key)
+    }
+
+    /// Advances all searches that have timed out.
+    pub fn expire(
         &mut self,
-        key: segment::StreamKey,
-        agent: net::SocketAddrV4,
-    ) -> ProbeOutcome {
-        let Some(search) = self.searches.get_mut(&key).filter(|search| search.is_probing()) else {
-            return ProbeOutcome::NotProbing;
-        };
-        let Some(place) = search.probed.iter().position(|probed| *probed == agent) else {
-            return ProbeOutcome::Pending;
+        width: u32,
+        now: ids::UnixMillis,
+    ) -> Vec<(segment::StreamKey, SearchStep)> {
+        let is_due = |search: &OwnerSearch| now.since(search.began) >= search.timeout_ms();
+        let due = self.searches.iter().filter(|(_, search)| is_due(search));
+        let due: Vec<_> = due.map(|(key, search)| (*key, search.phase)).collect();
+        let expire = |(key, phase)| {
+            let step = match phase {
+                SearchPhase::Suspended => self.give_up(key),
+                SearchPhase::Asking | SearchPhase::Probing => self.on_timeout(key, width, now),
+            };
+            (key, step)
         };
-        search.probed.swap_remove(place);
-        if let Some(next) = search.unsure.pop() {
-            search.probed.push(next);
-            let segment = search.waiting.first().cloned().unwrap_or_default();
-            return ProbeOutcome::Next(next, segment);
-        }
-        match search.probed.is_empty() {
+        due.into_iter().map(expire).collect()
+    }
+
+    /// Goes on without the answers and returned segments that are late: probes further backend servers,
+    /// or concludes or suspends the search.
+    fn on_timeout(
+        &mut self,
+        key: segment::StreamKey,
+        width: u32,
+        now: ids::UnixMillis,
+    ) -> SearchStep {
+        let Some(search) = self.searches.get_mut(&key) else { return SearchStep::Pending };
+        let next = search.probe(width as usize, now);
+        match next.is_empty() {
+            false => SearchStep::Probe(next, search.waiting.first().cloned().unwrap_or_default()),
+            true if search.is_conclusive() => self.conclude(key),
             true => {
-                self.searches.remove(&key).map_or(ProbeOutcome::NotProbing, ProbeOutcome::Exhausted)
+                search.suspend(now);
+                SearchStep::Pending
             }
-            false => ProbeOutcome::Pending,
         }
     }
 
-    /// Ends and returns the search for a stream.
-    pub fn end(&mut self, key: segment::StreamKey) -> Option<OwnerSearch> {
-        self.searches.remove(&key)
+    /// Goes on after an answer, or if there is nobody left to query: probes further backend servers, or
+    /// concludes the search.
+    pub fn advance(
+        &mut self,
+        key: segment::StreamKey,
+        width: u32,
+        now: ids::UnixMillis,
+    ) -> SearchStep {
+        let Some(search) = self.searches.get_mut(&key) else { return SearchStep::Pending };
+        let next = search.probe((width as usize).saturating_sub(search.probed.len()), now);
+        match next.is_empty() {
+            false => SearchStep::Probe(next, search.waiting.first().cloned().unwrap_or_default()),
+            true if search.probed.is_empty() && search.is_conclusive() => self.conclude(key),
+            true if search.probed.is_empty() && search.phase != SearchPhase::Suspended => {
+                search.suspend(now);
+                SearchStep::Pending
+            }
+            true => SearchStep::Pending,
+        }
     }
 
-    /// Ends and returns all searches that have timed out.
-    pub fn expire(&mut self, now: ids::UnixMillis) -> Vec<(segment::StreamKey, OwnerSearch)> {
-        self.searches.extract_if(|_, search| search.is_timed_out(now)).collect()
+    fn conclude(&mut self, key: segment::StreamKey) -> SearchStep {
+        self.searches.remove(&key).map_or(SearchStep::Pending, SearchStep::Concluded)
+    }
+
+    fn give_up(&mut self, key: segment::StreamKey) -> SearchStep {
+        self.searches.remove(&key).map_or(SearchStep::Pending, SearchStep::GivenUp)
+    }
+
+    /// Makes room for a search, if need be at the expense of a suspended one.
+    fn make_room(&mut self) -> bool {
+        if self.searches.len() < MAX_SEARCHES {
+            return true;
+        }
+        let mut suspended =
+            self.searches.iter().filter(|(_, search)| search.phase == SearchPhase::Suspended);
+        let suspended = suspended.next().map(|(key, _)| *key);
+        suspended.is_some_and(|key| self.searches.remove(&key).is_some())
     }
 
     /// How many searches are in progress.
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -28,8 +28,6 @@
     /// There was no search: the opening passed through here, or an agent reported the stream.
     #[default]
     NotSearched,
-    /// Not every agent has answered.
-    Incomplete,
     /// Every agent except the candidates has denied the stream.
     Complete,
 }
--- a/crates/core/tests/stream_search.rs
+++ b/crates/core/tests/stream_search.rs
@@ -336,3 +336,60 @@
     }
     assert!(world.view(key).answers > 0);
 }
+
+/// An agent that stops before its backend server has returned a probe is taken for the holder, and segments
+/// go there, although the agent of the holder has restarted without having been asked again.
+#[test]
+fn probed_agent_stops() {
+    let mut world = world::StreamWorld::with_hosts(4, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let holder = world.holders(key)[0];
+    let other = if holder == 1 { 2 } else { 1 };
+    world.start_agent(other, "wallet");
+    world.remove_agent(holder);
+    world.start_balancer(1);
+    world.advance(300);
+    world.host(other).return_delay_ms = 50;
+    world.send(key);
+    world.advance(75);
+    assert_eq!(world.host(other).unheld_segments, 1);
+    world.remove_agent(other);
+    world.advance(300);
+    world.start_agent(holder, "wallet");
+    world.advance(200);
+    for _ in 0..2 {
+        world.repeat(key);
+        world.advance(300);
+    }
+    assert_eq!((world.view(key).answers >= 1, world.view(key).resets), (true, 0));
+}
+
+/// While the agent of a stream's holder is away, each copy of a segment goes to other backend servers that
+/// have returned it before.
+#[test]
+fn denials_remembered() {
+    let mut world = world::StreamWorld::with_hosts(4, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let holder = world.holders(key)[0];
+    for nth in (1..=4).filter(|nth| *nth != holder) {
+        world.start_agent(nth, "wallet");
+    }
+    world.remove_agent(holder);
+    world.start_balancer(1);
+    world.advance(300);
+    world.send(key);
+    // Callers retransmit with a growing delay.
+    for delay_ms in [200, 400, 800, 1_600] {
+        world.advance(delay_ms);
+        world.repeat(key);
+    }
+    world.start_agent(holder, "wallet");
+    world.advance(200);
+    let unheld_segments: u64 = world.hosts.values().map(|host| host.unheld_segments).sum();
+    assert_eq!(unheld_segments, 3);
+    assert_eq!((world.view(key).answers >= 1, world.view(key).resets), (true, 0));
+}
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -109,6 +109,9 @@
     pub(crate) powered_off: collections::BTreeSet<net::SocketAddrV4>,
     /// Links that drop all messages, as pairs of sender and receiver.
     pub(crate) blocked_links: collections::BTreeSet<(net::SocketAddrV4, net::SocketAddrV4)>,
+    /// Links that drop all messages until a time, as pairs of sender and receiver.
+    pub(crate) lossy_links:
+        collections::BTreeMap<(net::SocketAddrV4, net::SocketAddrV4), ids::UnixMillis>,
     /// Paused processes.
     pub(crate) frozen: collections::BTreeSet<net::SocketAddrV4>,
     /// Deliveries to paused processes.
@@ -164,6 +167,7 @@
             partitioned: collections::BTreeSet::new(),
             powered_off: collections::BTreeSet::new(),
             blocked_links: collections::BTreeSet::new(),
+            lossy_links: collections::BTreeMap::new(),
             frozen: collections::BTreeSet::new(),
             deferred: Vec::new(),
             entry_balancer: balancer_address(1),
