Reasons that constants had lost are back in their comments

The wording of the code dropped some facts that a maintainer needs before changing a value: what another value does, what an entry costs, what a limit is compared with. No code changes.

--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -15,8 +15,11 @@
 /// share of capacity, where a service prefers stability.
 const STABILITY_SLACK: f64 = 0.1;
 
-/// How much is added to the load of a host in another data centre, as a share of capacity, where
-/// a service prefers stability.
+/// How much is added to the load of a host in another data centre, as a share of capacity, where a
+/// service prefers stability.
+///
+/// Load moves to other data centres gradually: the fuller the near hosts are, the better far ones
+/// compare.
 const FAR_PENALTY: f64 = 0.5;
 
 /// The same where a service prefers balance: only decides between equally loaded hosts.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -16,6 +16,8 @@
 pub const CANDIDATE_DEPTH: usize = 8;
 
 /// The number of buckets for each host.
+///
+/// More would spread anchors a little more evenly, but not flows, whose owners are chosen by load.
 const BUCKETS_PER_HOST: u32 = 16;
 
 /// The maximum number of buckets of a service; bounds the time to build a large table.
--- a/crates/core/src/store_epoch.rs
+++ b/crates/core/src/store_epoch.rs
@@ -49,6 +49,8 @@
 }
 
 /// The number of low bits of a [`StoreRevision::packed`] that hold the revision number.
+///
+/// At 10,000 writes a second they last for three years of one epoch.
 const NUMBER_BITS: u32 = 40;
 
 impl StoreRevision {
--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -17,6 +17,8 @@
 
 /// How much earlier than a balancer a backend server may start to count as started together with it
 /// after a shared power loss, in milliseconds.
+///
+/// Machines that lose power together start within 300 ms of each other.
 const START_TOLERANCE_MS: u64 = 500;
 
 /// Machines probed per tick: each probe opens a connection, which costs processor time.
--- a/crates/core/src/stream/balancer/centres.rs
+++ b/crates/core/src/stream/balancer/centres.rs
@@ -14,6 +14,8 @@
 /// Time without a report from any process of a data centre after which it is lost, in milliseconds.
 ///
 /// Longer than a simultaneous restart of all its agents, whose backend servers keep their streams.
+/// The last report before a restart may be 300 ms old. At 1,000 ms, agents that were all
+/// restarted at the same time had open streams reset.
 const CENTRE_TIMEOUT_MS: u64 = 1_500;
 
 /// Fewest known processes of a data centre whose silence proves its loss: two may be restarted at the
--- a/crates/core/src/stream/balancer/evacuations.rs
+++ b/crates/core/src/stream/balancer/evacuations.rs
@@ -7,11 +7,12 @@
 use crate::stream::evacuation;
 use crate::stream::log_event;
 
-/// How long a balancer waits after its start for the list of evacuated data centres before it places
-/// openings, in milliseconds.
+/// How long a balancer waits after its start for the list of evacuated data centres before it
+/// places openings, in milliseconds.
 ///
 /// Long enough for several failed calls to the platform. After that it places openings without the
 /// list: evacuations are rare, and refusing all callers while the platform is down would cost more.
+/// The platform, like another balancer, answers within about 10 ms.
 const EVACUATION_LIST_WAIT_MS: u64 = 1_000;
 
 impl balancer::StreamBalancer {
--- a/crates/core/src/stream/evacuation.rs
+++ b/crates/core/src/stream/evacuation.rs
@@ -18,6 +18,9 @@
 
 /// How long a data centre stays evacuated after a restore of the store that lost its entry, in
 /// milliseconds; operators need some seconds to write the entry again by hand.
+///
+/// If it is too long, a data centre that was just taken back stays empty while the others are
+/// loaded; if it is too short, new streams end with machines that are switched off.
 const HOLD_MS: u64 = 30_000;
 
 /// The evacuated data centres at one revision of the platform's store, as sent between processes.
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -17,8 +17,11 @@
 /// How long agents may take to answer, in milliseconds; several round trips between data centres.
 const ANSWER_TIMEOUT_MS: u64 = 40;
 
-/// How long backend servers may take to return a segment, in milliseconds; less than the 200 ms after
-/// which callers retransmit it.
+/// How long backend servers may take to return a segment, in milliseconds; less than the 200 ms
+/// after which callers retransmit it.
+///
+/// Backend servers return a segment at once; the one that holds the stream keeps it, and answers
+/// when its work is done.
 const PROBE_TIMEOUT_MS: u64 = 150;
 
 /// The maximum number of queued segments of a stream; what a caller has in flight.
@@ -26,6 +29,8 @@
 
 /// The maximum number of concurrent searches, which bounds the queued segments to 40 MB. Segments
 /// beyond it are dropped, and their callers retransmit them.
+///
+/// All streams of a balancer that has failed move to others at once.
 const MAX_SEARCHES: usize = 2_000;
 
 /// How long a search without an outcome is kept after the caller's last segment, in milliseconds; longer
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -10,8 +10,10 @@
 use crate::stream::segment;
 use crate::stream::sent;
 
-/// The minimum time that an unused entry is kept, in milliseconds; longer than callers leave a stream
-/// idle.
+/// The minimum time that an unused entry is kept, in milliseconds; longer than callers leave a
+/// stream idle.
+///
+/// Streams are idle for 15 s at most, and an entry takes a few hundred bytes.
 const GENERATION_MS: u64 = 20_000;
 
 /// The age from which on another opening starts a new stream from the same port, in milliseconds;
--- a/crates/core/src/stream/segment.rs
+++ b/crates/core/src/stream/segment.rs
@@ -99,7 +99,8 @@
 /// The maximum number of bytes that a backend server sends on one stream.
 ///
 /// A caller that expects a sequence number further ahead has accepted another backend server's
-/// answer. Initial numbers are random, so one stream in 64 is mistaken.
+/// answer. Initial numbers are random, so one stream in 64 is mistaken. A stream
+/// carries a few megabytes in a minute.
 const MAX_STREAM_BYTES: u32 = 1 << 26;
 
 /// Whether a caller that expects `expected` may have accepted the answer with the initial number
--- a/crates/core/src/stream/slow_start.rs
+++ b/crates/core/src/stream/slow_start.rs
@@ -9,6 +9,9 @@
 use crate::manifest;
 
 /// The window of the rate limit, in milliseconds: a second and some tolerance for delivery jitter.
+///
+/// The backend server counts its own second, which begins and ends some milliseconds apart from the
+/// agent's on a busy machine.
 const WINDOW_MS: u64 = 1_050;
 
 /// How many reports are needed to show that a backend server is not slow after the end of an
--- a/crates/core/src/stream/waiting.rs
+++ b/crates/core/src/stream/waiting.rs
@@ -15,12 +15,18 @@
 
 /// The age from which on an opening is not delivered any more, in milliseconds; callers give up an
 /// attempt after 1.4 s.
+///
+/// The difference is a round trip.
 const ATTEMPT_TIMEOUT_MS: u64 = 1_350;
 
 /// The age of an opening by the number of retransmissions before it, in milliseconds.
+///
+/// Callers retransmit it after 200 and after 600 ms.
 const RETRANSMISSION_AGES_MS: [u64; 3] = [0, 200, 600];
 
 /// The maximum number of openings that wait at one agent; they are ranked at each change.
+///
+/// Each takes some 200 bytes, and the smallest agents have 64 MB.
 const MAX_WAITING: usize = 1_024;
 
 /// The service rate of a backend server, and the limits of its queue.
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -20,7 +20,8 @@
 
 /// The largest body of a small request, such as a backend server's report.
 ///
-/// A body of [`MAX_BODY_BYTES`] would take more memory than a small instance has.
+/// A body of [`MAX_BODY_BYTES`] would take more memory than a small instance has. Reports have some
+/// hundred bytes.
 pub const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
 
 /// A request to another process.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -16,9 +16,11 @@
 /// The key prefix of announcements.
 pub const MEMBER_PREFIX: &str = "members/";
 
-/// The time over which processes spread their check of their announcements after a restore of the store.
+/// The time over which processes spread their check of their announcements after a restore of the
+/// store.
 ///
-/// One read each of 14,000 processes within 8 s stays below the store's limit of 2,000 reads a second.
+/// One read each of 14,000 processes within 8 s stays below the store's limit of 2,000 reads a
+/// second. A process that starts meanwhile learns of the others from balancers.
 pub const ANNOUNCE_SPREAD_MS: u64 = 8_000;
 
 /// The key of the announcement of the process `name`.
--- a/crates/node/src/rings.rs
+++ b/crates/node/src/rings.rs
@@ -5,6 +5,8 @@
 use crate::meters;
 
 /// How many items a ring holds: some tens of milliseconds of work at a few microseconds an item.
+///
+/// An item that waits longer is too late to be of use.
 pub const RING_CAPACITY: usize = 8_192;
 
 /// Creates a ring of [`RING_CAPACITY`] items.
