Tests of mentions and announcements against a search's exclusions

Mutants showed that three safeguards had no test that notices their loss: a mention of an unheard agent after a power loss, a mention that contradicts an announced service, and the wait for a machine that is cut off for a moment.

--- a/crates/core/tests/search_exclusions.rs
+++ b/crates/core/tests/search_exclusions.rs
@@ -139,6 +139,39 @@
     check_kept(&mut world, key);
 }
 
+/// The same after a power loss, in which silence counts as loss.
+#[test]
+fn mentioned_after_power_loss() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    world.blocked_links.insert((world::agent_address(LATE), world::balancer_address(1)));
+    world.restart_after_power_loss(1..=HOSTS);
+    world.advance(LONG_RESTART_MS);
+    let key = open_at(&mut world, LATE, 0);
+    check_kept(&mut world, key);
+}
+
+/// A balancer that starts takes an agent for lost as soon as its machine leaves probes unanswered, although it
+/// may be partitioned for a moment, and resets a stream that is open there.
+#[test]
+fn partitioned_machine() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    world.partitioned.insert(world::agent_address(holder));
+    world.start_balancer(1);
+    world.advance(1_700);
+    world.send(key);
+    world.advance(100);
+    assert_eq!(world.view(key).resets, 0);
+    world.heal();
+    world.advance(500);
+    world.repeat(key);
+    world.advance(100);
+    assert_eq!((world.view(key).answers, world.view(key).resets), (1, 0));
+}
+
 /// A denial that arrives twice stands for the missing answer of another agent, and an open stream is reset.
 #[test]
 fn denial_repeated() {
@@ -195,3 +228,19 @@
     world.advance(10);
     assert_eq!(world.view(key).resets, 1);
 }
+
+/// A balancer trusts the service of an announcement, though another balancer mentions the agent with another
+/// one, and resets a stream that is open there.
+#[test]
+fn announced_service_changed() {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    world.start_host(1, "preview", 4);
+    world.start_agent(1, "preview");
+    world.blocked_links.insert((world::agent_address(LATE), world::balancer_address(1)));
+    world.start_balancer(1);
+    world.start_host(LATE, "preview", 4);
+    world.start_agent(LATE, "preview");
+    world.advance(1_000);
+    let key = open_at(&mut world, LATE, PREVIEW);
+    check_kept(&mut world, key);
+}
