--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -95,7 +95,7 @@
             knows_all_members,
             ..self.table.holders(service, &self.lost_centres, now)
         };
-        let outcome = self.searches.enqueue(key, service, &holders, segment, now);
+        let outcome = self.searches.enqueue(key, &holders, segment, now);
         let lookup::EnqueueOutcome::Ask { ask, candidates } = outcome else { return };
         actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::Searched {
             stream: key,
@@ -185,7 +185,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let width = self.config.policy.recovery.search_width;
-        if let Some(step) = self.searches.on_returned(key, from, Some(segment.bytes), width, now) {
+        if let Some(step) = self.searches.on_returned(key, from, segment.bytes, width, now) {
             return self.apply_search_step(key, step, now, actions);
         }
         let Some(owner) = self.owners.touch(key) else { return };
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -8,6 +8,7 @@
 //! several of these backend servers at a time.
 
 use std::collections;
+use std::collections::hash_map;
 use std::net;
 
 use crate::ids;
@@ -41,7 +42,7 @@
 /// that it gets at once.
 const MAX_RESUMED_SEARCHES: usize = 100;
 
-/// The phase of a search.
+/// The phase of a search. All but the first go on as answers arrive.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SearchPhase {
     /// Agents are queried.
@@ -59,8 +60,6 @@
 /// repeats its segment while others are unreachable.
 #[derive(Clone, Debug)]
 pub struct OwnerSearch {
-    /// The service of the stream in the configuration, if there is one.
-    pub service: Option<ids::ServiceId>,
     phase: SearchPhase,
     /// When the current phase began, or the caller's last segment arrived at a suspended search.
     began: ids::UnixMillis,
@@ -85,13 +84,8 @@
 }
 
 impl OwnerSearch {
-    fn new(
-        service: Option<ids::ServiceId>,
-        caller_expects: u32,
-        now: ids::UnixMillis,
-    ) -> OwnerSearch {
+    fn new(caller_expects: u32, now: ids::UnixMillis) -> OwnerSearch {
         OwnerSearch {
-            service,
             phase: SearchPhase::Asking,
             began: now,
             presumed_gone: 0,
@@ -125,9 +119,9 @@
         self.presumed_gone = holders.presumed_gone;
         self.knows_all_members = holders.knows_all_members;
         let answered = [&self.denied, &self.unsure, &self.probed];
-        let is_open =
-            |agent: &&net::SocketAddrV4| !answered.iter().any(|list| list.contains(agent));
-        self.unanswered = holders.agents.iter().filter(is_open).copied().collect();
+        let has_answered = |agent| answered.iter().any(|list| list.contains(agent));
+        let missing = holders.agents.iter().filter(|agent| !has_answered(agent));
+        self.unanswered = missing.copied().collect();
         self.unanswered.clone()
     }
 
@@ -149,7 +143,7 @@
 
     /// Whether all possible holders were queried, and all but the candidates have denied the stream.
     ///
-    /// Agents presumed gone may be back by the time the candidates deny it.
+    /// With candidates, the outcome may take seconds, in which an agent presumed gone may return.
     fn is_conclusive(&self) -> bool {
         let are_all_asked = self.knows_all_members && self.unanswered.is_empty();
         let has_candidates = !self.probed.is_empty() || !self.unsure.is_empty();
@@ -190,6 +184,11 @@
 }
 
 impl OwnerSearch {
+    /// The step that sends the first segment to these agents' backend servers.
+    fn probe_step(&self, agents: Vec<net::SocketAddrV4>) -> SearchStep {
+        SearchStep::Probe(agents, self.waiting.first().cloned().unwrap_or_default())
+    }
+
     /// How many agents have denied the stream.
     pub fn denials(&self) -> usize {
         self.denied.len()
@@ -259,7 +258,6 @@
     pub fn enqueue(
         &mut self,
         key: segment::StreamKey,
-        service: Option<ids::ServiceId>,
         holders: &liveness::PossibleHolders,
         segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
@@ -268,9 +266,9 @@
             return EnqueueOutcome::NoRoom;
         }
         let caller_expects = segment.head.acknowledged;
-        let search = self.searches.entry(key);
-        let is_new = matches!(search, collections::hash_map::Entry::Vacant(_));
-        let search = search.or_insert_with(|| OwnerSearch::new(service, caller_expects, now));
+        let entry = self.searches.entry(key);
+        let is_new = matches!(entry, hash_map::Entry::Vacant(_));
+        let search = entry.or_insert_with(|| OwnerSearch::new(caller_expects, now));
         if !is_new && search.phase != SearchPhase::Suspended {
             search.push(segment.bytes);
             return EnqueueOutcome::Pending;
@@ -304,14 +302,12 @@
         &mut self,
         key: segment::StreamKey,
         agent: net::SocketAddrV4,
-        bytes: Option<&[u8]>,
+        bytes: &[u8],
         width: u32,
         now: ids::UnixMillis,
     ) -> Option<SearchStep> {
         let search = self.searches.get_mut(&key)?;
-        if let Some(bytes) = bytes {
-            search.push(bytes);
-        }
+        search.push(bytes);
         Some(self.on_absent(key, agent, true, width, now))
     }
 
@@ -359,7 +355,7 @@
         let Some(search) = self.searches.get_mut(&key) else { return SearchStep::Pending };
         let next = search.probe(width as usize, now);
         match next.is_empty() {
-            false => SearchStep::Probe(next, search.waiting.first().cloned().unwrap_or_default()),
+            false => search.probe_step(next),
             true if search.is_conclusive() => self.conclude(key),
             true => {
                 search.suspend(now);
@@ -379,7 +375,7 @@
         let Some(search) = self.searches.get_mut(&key) else { return SearchStep::Pending };
         let next = search.probe((width as usize).saturating_sub(search.probed.len()), now);
         match next.is_empty() {
-            false => SearchStep::Probe(next, search.waiting.first().cloned().unwrap_or_default()),
+            false => search.probe_step(next),
             true if search.probed.is_empty() && search.is_conclusive() => self.conclude(key),
             true if search.probed.is_empty() && search.phase != SearchPhase::Suspended => {
                 search.suspend(now);
