--- a/crates/core/src/stream/agent_table/exclusion.rs
+++ b/crates/core/src/stream/agent_table/exclusion.rs
@@ -7,9 +7,9 @@
 //!
 //! | the agent | left out if |
 //! |---|---|
-//! | in a lost data centre | always: its machines leave probes unanswered, and no balancer hears from it |
+//! | in a lost data centre | always: its machines leave probes unanswered, and no balancer receives reports from it |
 //! | whose reports arrive | it reports another service |
-//! | whose reports have stopped | its backend server had stopped before, and nobody has heard from it since |
+//! | whose reports have stopped | its backend server had stopped before, and no other balancer has mentioned it since |
 //! | that has never reported here | it is announced with another service, or its machine is presumed lost |
 
 /// Why a search leaves an agent out.
@@ -38,7 +38,7 @@
     }
 }
 
-/// How a balancer hears from an agent.
+/// Whether a balancer receives the reports of an agent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AgentContact {
     /// Its reports arrive.
@@ -47,8 +47,8 @@
     Silent {
         /// Whether its backend server had stopped by its last report.
         host_had_stopped: bool,
-        /// Whether another balancer has heard from it since.
-        is_heard_elsewhere: bool,
+        /// Whether another balancer's mention shows that it has run since.
+        is_mentioned_since: bool,
     },
     /// It has never reported here, or its report has expired.
     Unreported {
@@ -60,7 +60,7 @@
 /// What a balancer knows of an agent when a search for a stream of some service begins.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AgentEvidence {
-    /// How the balancer hears from it.
+    /// Whether its reports arrive.
     pub contact: AgentContact,
     /// Whether its data centre is lost.
     pub is_in_lost_centre: bool,
@@ -80,7 +80,7 @@
             }
             // A backend server that has stopped may have started again since the last report.
             AgentContact::Reporting => None,
-            AgentContact::Silent { host_had_stopped: true, is_heard_elsewhere: false } => {
+            AgentContact::Silent { host_had_stopped: true, is_mentioned_since: false } => {
                 Some(SearchExclusion::Departed)
             }
             // A backend server of this service may use its address by now.
--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -41,7 +41,7 @@
 
 impl agent_table::AgentTable {
     /// The agents whose machines must be probed now, once the majority of agents is reachable: those that
-    /// have never reported and that nobody mentions, and all in a data centre that has fallen silent.
+    /// have never reported and that no balancer mentions, and all in a data centre that has fallen silent.
     pub fn take_due_probes(&mut self, now: ids::UnixMillis) -> Vec<net::SocketAddrV4> {
         if !self.reaches_majority() {
             return Vec::new();
@@ -203,23 +203,23 @@
             Some(_) if self.is_reachable(known, now) => exclusion::AgentContact::Reporting,
             Some(report) => exclusion::AgentContact::Silent {
                 host_had_stopped: report.phase == host::HostPhase::Gone,
-                is_heard_elsewhere: known.is_service_disputed
-                    || self.is_heard_elsewhere(known, known.last_report),
+                is_mentioned_since: known.is_service_disputed
+                    || self.is_mentioned_since(known, known.last_report),
             },
             None => {
-                let is_unheard = |since: ids::UnixMillis| known.machine.last_mention() <= since;
-                let is_machine_lost = known.presumed_lost.is_some_and(is_unheard);
+                let is_unmentioned = |since: ids::UnixMillis| known.machine.last_mention() <= since;
+                let is_machine_lost = known.presumed_lost.is_some_and(is_unmentioned);
                 exclusion::AgentContact::Unreported { is_machine_lost }
             }
         }
     }
 
-    /// Whether another balancer has heard from an agent after this time, at which it last reported here
-    /// or should have begun to.
+    /// Whether a mention shows that another balancer has received a report of an agent after this time,
+    /// at which it last reported here or should have begun to.
     ///
     /// Others mention an agent until its reports have timed out there, so mentions go on for a while
     /// after its last report to anyone.
-    fn is_heard_elsewhere(&self, known: &agent_table::KnownAgent, since: ids::UnixMillis) -> bool {
+    fn is_mentioned_since(&self, known: &agent_table::KnownAgent, since: ids::UnixMillis) -> bool {
         let reports = self.policy.reports;
         let mentions_end_ms = u64::from(reports.far_ms) + reports.timeout_ms(false);
         known.machine.last_mention() > since.plus(mentions_end_ms)
@@ -230,7 +230,7 @@
     fn expected_since(&self, known: &agent_table::KnownAgent) -> ids::UnixMillis {
         let subscribed = known.subscribed.map(|subscribed| subscribed.max(known.last_report));
         match subscribed {
-            Some(since) if self.is_heard_elsewhere(known, since) => known.machine.last_mention(),
+            Some(since) if self.is_mentioned_since(known, since) => known.machine.last_mention(),
             Some(since) => since,
             None => known.last_seen().plus(subscriptions::MENTION_TIMEOUT_MS),
         }
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -47,7 +47,7 @@
 enum SearchPhase {
     /// Agents are queried.
     Asking,
-    /// Backend servers of agents that cannot tell are probed with the first segment.
+    /// Backend servers whose agents are unsure are probed with the first segment.
     Probing,
     /// Not all agents have answered in time; their answers still count, and the caller's next segment
     /// queries them again.
@@ -279,7 +279,7 @@
         EnqueueOutcome::Ask { ask, candidates: search.probed.clone() }
     }
 
-    /// Records the answer of an agent that does not hold the stream or cannot tell.
+    /// Records the answer of an agent that denies the stream or is unsure.
     pub fn on_absent(
         &mut self,
         key: segment::StreamKey,
--- a/crates/core/tests/search_exclusions.rs
+++ b/crates/core/tests/search_exclusions.rs
@@ -31,6 +31,16 @@
     world
 }
 
+/// A world with one open stream, and the number of the agent whose backend server holds it.
+fn world_with_stream() -> (world::StreamWorld, segment::StreamKey, u8) {
+    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
+    let key = world::key(1, 0);
+    world.open(key, 0);
+    world.advance(10);
+    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    (world, key, holder)
+}
+
 /// Starts the stopped backend server and opens a stream there through the second balancer.
 fn open_at_late_host(world: &mut world::StreamWorld) -> segment::StreamKey {
     world.start_host(LATE, "wallet", 4);
@@ -106,11 +116,7 @@
 /// machine answers probes, and resets a stream that is open there.
 #[test]
 fn long_restart() {
-    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
-    let key = world::key(1, 0);
-    world.open(key, 0);
-    world.advance(10);
-    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let (mut world, key, holder) = world_with_stream();
     world.remove_agent(holder);
     world.start_balancer(1);
     world.advance(LONG_RESTART_MS);
@@ -126,11 +132,7 @@
 /// mentions that it runs.
 #[test]
 fn mentioned_agent_unheard() {
-    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
-    let key = world::key(1, 0);
-    world.open(key, 0);
-    world.advance(10);
-    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let (mut world, key, holder) = world_with_stream();
     let agent = world::agent_address(holder);
     world.blocked_links.insert((agent, world::balancer_address(1)));
     world.powered_off.insert(agent);
@@ -154,11 +156,7 @@
 /// may be partitioned for a moment, and resets a stream that is open there.
 #[test]
 fn partitioned_machine() {
-    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
-    let key = world::key(1, 0);
-    world.open(key, 0);
-    world.advance(10);
-    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let (mut world, key, holder) = world_with_stream();
     world.partitioned.insert(world::agent_address(holder));
     world.start_balancer(1);
     world.advance(1_700);
@@ -175,11 +173,7 @@
 /// A denial that arrives twice stands for the missing answer of another agent, and an open stream is reset.
 #[test]
 fn denial_repeated() {
-    let mut world = world::StreamWorld::with_hosts(HOSTS, 4);
-    let key = world::key(1, 0);
-    world.open(key, 0);
-    world.advance(10);
-    let [holder] = world.holders(key)[..] else { panic!("one backend server holds the stream") };
+    let (mut world, key, holder) = world_with_stream();
     let other = if holder == 1 { 2 } else { 1 };
     world.start_balancer(1);
     world.advance(300);
