Review: two cases dropped, which an earlier review shows

Cause: the late heartbeat of a dead incarnation stands in review/2 and review/more/late-heartbeat already.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 scene=target/review-2/release/scene
 [ -x "$scene" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec "$scene" late-heartbeat review/6/record.txt
+exec "$scene" leaving-balancer review/6/record.txt
