--- a/review/standins-2/src/host.rs
+++ b/review/standins-2/src/host.rs
@@ -36,6 +36,7 @@
 
 /// One incarnation of a host, until it is ended.
 pub struct Host {
+    place: HostPlace,
     is_over: Arc<AtomicBool>,
 }
 
@@ -53,7 +54,7 @@
 impl Host {
     /// Starts an incarnation.
     pub fn start(place: HostPlace, record: &Record) -> Host {
-        let host = Host { is_over: Arc::default() };
+        let host = Host { place: place.clone(), is_over: Arc::default() };
         record.add(format!("host {} starts at {} for {}", place.id, place.app, place.service));
         let listener = net::TcpListener::bind(place.app).expect("the health port");
         listener.set_nonblocking(true).expect("a listener");
@@ -86,6 +87,18 @@
         });
         host
     }
+
+    pub fn id(&self) -> &str {
+        &self.place.id
+    }
+
+    /// Says that it ends, and ends.
+    pub fn leave(&self, record: &Record) {
+        let path = format!("/backend/{}/leave", self.place.id);
+        let answer = http::call(self.place.control, "POST", &path, "", Duration::from_secs(1));
+        record.add(format!("host {} leaves: {answer:?}", self.place.id));
+        self.is_over.store(true, Ordering::SeqCst);
+    }
 }
 
 impl Drop for Host {
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,6 +11,7 @@
 mod moved_route;
 mod packet;
 mod record;
+mod removed_hosts;
 mod router;
 mod store;
 mod system;
@@ -32,6 +33,7 @@
     record.add(format!("scene {name}, with the disruption: {is_troubled}"));
     let play = || match name.as_str() {
         "moved-route" => moved_route::play(is_troubled, &record),
+        "removed-hosts" => removed_hosts::play(is_troubled, &record),
         "leaving-balancer" => leaving_balancer::play(is_troubled, &record),
         _ => Verdict::CannotRun(format!("no scene {name}")),
     };
