Review: an agent that hasn't heard its host removes its announcement

Cause: an agent that is stopped takes a host that it hasn't heard for one that isn't there, so a balancer that starts meanwhile doesn't know of it.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -15,6 +15,7 @@
 mod router;
 mod store;
 mod system;
+mod unheard_host;
 
 use std::path;
 
@@ -34,6 +35,7 @@
     let play = || match name.as_str() {
         "moved-route" => moved_route::play(is_troubled, &record),
         "removed-hosts" => removed_hosts::play(is_troubled, &record),
+        "unheard-host" => unheard_host::play(is_troubled, &record),
         "leaving-balancer" => leaving_balancer::play(is_troubled, &record),
         _ => Verdict::CannotRun(format!("no scene {name}")),
     };
