--- a/review/standins-2/src/unheard_host.rs
+++ b/review/standins-2/src/unheard_host.rs
@@ -15,19 +15,19 @@
 use crate::system::System;
 
 /// The balancers, with the phases of their readiness checks, in seconds.
-const EDGES: [(u8, f64); 2] = [(1, 0.1), (3, 0.3)];
+const EDGES: [(u8, f64); 2] = [(1, 0.25), (3, 0.35)];
 /// The balancer that is stopped and started.
 const STOPPED_EDGE: u8 = 1;
 const TALLER: [u8; 4] = [11, 13, 15, 17];
 /// The machine whose agent is stopped and started twice.
 const STOPPED_SIDE: u8 = 17;
 /// When the balancer is stopped, and when the agent, in seconds.
-const STOP_EDGE_AT: f64 = 10.2;
-const STOP_AGENT_AT: f64 = 10.35;
+const STOP_EDGE_AT: f64 = 10.03;
+const STOP_AGENT_AT: f64 = 10.43;
 /// When the agent is stopped again after it has started.
 const STOP_AGAIN_S: f64 = 0.4;
 /// How long a process that has ended takes to start again, in seconds.
-const RESTART_S: f64 = 2.0;
+const RESTART_S: f64 = 1.2;
 const CLIENTS: u8 = 64;
 const OPEN_AT: f64 = 7.0;
 const END_AT: f64 = 17.0;
@@ -65,7 +65,7 @@
             port: system.ports.network,
             requests: 2,
             // The flow is idle until its second request.
-            pause: Duration::from_millis(6_600),
+            pause: Duration::from_millis(5_300),
         };
         threads.push(client.start(record, &outcomes));
         std::thread::sleep(Duration::from_millis(15));
