--- a/review/standins-2/src/leaving_balancer.rs
+++ b/review/standins-2/src/leaving_balancer.rs
@@ -19,7 +19,7 @@
 use crate::system::System;
 
 /// The balancers of the zone with the phases of their readiness checks, in seconds.
-const EDGES: [(u8, f64); 3] = [(1, 0.1), (3, 0.2), (5, 0.35)];
+const EDGES: [(u8, f64); 3] = [(1, 0.05), (3, 0.2), (5, 0.35)];
 /// The balancer of the other zone.
 const OTHER_ZONE: u8 = 2;
 /// Three machines that the settings name as seeds; the balancer that is stopped first isn't one.
@@ -27,7 +27,7 @@
 const TALLER: [u8; 7] = [11, 12, 13, 14, 15, 16, 18];
 /// When machines with new hosts are added, in seconds, and which.
 const ADDED: [(f64, u8); 2] = [(8.15, 17), (8.65, 19)];
-const CLIENTS: u8 = 96;
+const CLIENTS: u8 = 160;
 /// When balancers are stopped, in seconds, and which.
 const ROLL: [(f64, u8); 2] = [(8.0, 1), (8.3, 3)];
 /// How long a balancer that has ended takes to start again, in seconds.
@@ -66,7 +66,7 @@
     let threads: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let client = Client {
-                caller: system.at(100 + number, 20_000),
+                caller: system.at(30 + number, 20_000),
                 entry: system.entry(443),
                 ingress: Ingress::Routed(router.clone()),
                 port: system.ports.network,
