--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -110,6 +110,9 @@
             }
             None => end = FlowEnd::NotOpened,
         }
+        if end == FlowEnd::Whole {
+            flow.close();
+        }
         Outcome { caller: self.caller, stamp, answered, end }
     }
 }
@@ -243,6 +246,21 @@
         Ok(())
     }
 
+    /// Closes the flow, and waits a moment for the host to close it as well.
+    fn close(&self) {
+        for _ in 0..3 {
+            self.send(packet::FIN | packet::ACK, self.seq, self.ack, &[]);
+            let end = Instant::now() + Duration::from_millis(200);
+            while Instant::now() < end {
+                let packet = self.receive();
+                if packet.is_some_and(|p| p.has(packet::FIN) || p.has(packet::RST)) {
+                    let (seq, ack) = (self.seq.wrapping_add(1), self.ack.wrapping_add(1));
+                    return self.send(packet::ACK, seq, ack, &[]);
+                }
+            }
+        }
+    }
+
     fn check_reset(&self, packet: &Packet) -> Result<(), FlowEnd> {
         let distance = packet.seq.wrapping_sub(self.ack).min(self.ack.wrapping_sub(packet.seq));
         if !packet.has(packet::RST) || distance > RESET_RANGE {
--- a/review/standins-2/src/packet.rs
+++ b/review/standins-2/src/packet.rs
@@ -5,6 +5,7 @@
 
 pub const SYN: u8 = 32;
 pub const ACK: u8 = 1;
+pub const FIN: u8 = 64;
 pub const RST: u8 = 8;
 /// Set by a host in a packet that it gives back.
 pub const RETURNED: u8 = 16;
