A balancer that is leaving knows the agents that start, or resets nothing

Balancer 1 shuts down, two backend servers are added, balancer 3 shuts down as well.

Cause: a search that all known agents deny ends with a reset. The list of members counted as complete for good once it had been read, because each process announces itself before it reads the list. A leaving balancer broke that: it withdrew its announcement first, so agents that started did not introduce themselves, and gossip left it out, while it went on resetting for up to 4.5 s.

Ruled out: a wrong denial (the holder was not asked), a lost report ("presumed_gone" is 0).

Change: a balancer stays announced until it takes no more segments, and gets gossip until it has left. When the list counts as complete stands in balancer::member_list with its evidence; both resets that rest on it ask there, from the moment when the agents were queried. The same assumption failed on three more paths, each with a test: a balancer whose announcement is withdrawn, one whose announcement a restored store may lack, one that received nothing while an agent started (it reads the list again). "not_found" and /state tell the gap.

Why this works: of two processes, the one announced later finds the other in the list and introduces itself; each row of the table names a step that can fail, and the balancer resets nothing until that step has been repeated. Weighed: a mark in the report and gossip alone (an agent is then unknown for up to a second or two), reading the list again before each reset while leaving (a call to the store for each dead stream). No message grows; gossip has one more recipient to choose from while a balancer leaves.

Tests, on the code before (with the announcement withdrawn at once, as the process did): member_list fails in 5 of 5, member_fuzz::members_hold within 2,000 cases, leaving_balancer::agent_added with real processes ("an open stream is reset"). Now all pass, the fuzz also with 10,000 cases.

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -165,13 +165,15 @@
                 }
             }
             stream::StreamEvent::Seeds(seeds) => self.add_balancers(&seeds, now, actions),
-            stream::StreamEvent::Members(members) => {
+            stream::StreamEvent::Members { members, .. } => {
                 let balancers = members.iter().filter(|member| member.service.is_none());
                 let balancers: Vec<_> = balancers.map(|member| member.address).collect();
                 self.add_balancers(&balancers, now, actions);
             }
             // Evacuations arrive in balancers' reports; the others concern balancers alone.
             stream::StreamEvent::Evacuations(_)
+            | stream::StreamEvent::Announced(_)
+            | stream::StreamEvent::Withdrawn
             | stream::StreamEvent::MachineProbed { .. }
             | stream::StreamEvent::Platform(_) => {}
             stream::StreamEvent::StoreEpoch(epoch) => self.update_store_epoch(epoch, actions),
--- a/crates/core/src/stream/balancer/evacuations.rs
+++ b/crates/core/src/stream/balancer/evacuations.rs
@@ -54,8 +54,10 @@
     pub(super) fn advance_store_epoch(
         &mut self,
         to: store_epoch::StoreEpoch,
+        now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        self.member_list.on_store_epoch(to, now);
         if let Some(from) = self.store_epoch.advance(to) {
             actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::StoreRestored {
                 from,
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -4,12 +4,14 @@
 //! |---|---|
 //! | `centres` | detection of lost data centres |
 //! | `evacuations` | the list of evacuated data centres, and the wait for it after a start |
+//! | [`member_list`] | whether all members are known |
 //! | `neighbours` | reports exchanged with agents and other balancers, and gossip about members |
 //! | `openings` | placement of new streams |
 //! | `routing` | segments of open streams, and the search for a stream's holder |
 
 mod centres;
 mod evacuations;
+pub mod member_list;
 mod neighbours;
 mod openings;
 mod routing;
@@ -100,8 +102,7 @@
     /// Data centres that no balancer receives reports from.
     lost_centres: collections::BTreeSet<u32>,
     random: rngs::SmallRng,
-    /// Whether the platform's list of members has been read since the start.
-    has_member_list: bool,
+    member_list: member_list::MemberList,
     /// When due reports were last checked.
     last_report_check: ids::UnixMillis,
     last_agent_report: ids::UnixMillis,
@@ -128,7 +129,7 @@
             peers: collections::BTreeMap::new(),
             lost_centres: collections::BTreeSet::new(),
             random: rngs::SmallRng::seed_from_u64(config.seed),
-            has_member_list: false,
+            member_list: member_list::MemberList::new(now),
             last_report_check: ids::UnixMillis(0),
             last_agent_report: ids::UnixMillis(0),
             last_peer_report: ids::UnixMillis(0),
@@ -157,6 +158,7 @@
                 if segment.head.is_opening() && self.pause.is_resuming(now) => {}
             stream::StreamEvent::Segment(segment) => self.on_segment(&segment, now, actions),
             stream::StreamEvent::Message { from, message, head } => {
+                self.member_list.on_message(now);
                 self.on_message(from, message, head, now, actions);
             }
             stream::StreamEvent::Config(state) => {
@@ -178,9 +180,13 @@
             stream::StreamEvent::Evacuations(state) => {
                 self.merge_evacuations(&state, now, actions);
             }
-            stream::StreamEvent::Members(members) => self.merge_member_list(&members, now, actions),
+            stream::StreamEvent::Members { members, epoch } => {
+                self.merge_member_list(&members, epoch, now, actions);
+            }
+            stream::StreamEvent::Announced(epoch) => self.member_list.on_announced(epoch, now),
+            stream::StreamEvent::Withdrawn => self.member_list.on_withdrawn(now),
             stream::StreamEvent::Platform(reaches) => self.reaches_platform = reaches,
-            stream::StreamEvent::StoreEpoch(epoch) => self.advance_store_epoch(epoch, actions),
+            stream::StreamEvent::StoreEpoch(epoch) => self.advance_store_epoch(epoch, now, actions),
             stream::StreamEvent::MachineProbed { agent, is_there } => {
                 self.table.on_machine_probed(agent, is_there);
             }
@@ -310,6 +316,17 @@
         self.peers.values().any(|peer| peer.is_reachable)
     }
 
+    /// Returns whether the list of members must be read from the platform now.
+    pub fn needs_member_list(&self, now: ids::UnixMillis) -> bool {
+        self.member_list.needs_read(now)
+    }
+
+    /// Returns why members may be unknown to this balancer, which then resets no stream that the known
+    /// agents deny; `None` if all are known.
+    pub fn member_list_gap(&self, now: ids::UnixMillis) -> Option<member_list::MemberListGap> {
+        self.member_list.gap(now)
+    }
+
     /// Returns the number of known stream owners and of searches in progress.
     pub fn owner_and_search_counts(&self) -> (usize, usize) {
         (self.owners.len(), self.searches.len())
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -6,6 +6,7 @@
 use rand::seq::IteratorRandom as _;
 
 use crate::ids;
+use crate::store_epoch;
 use crate::stream;
 use crate::stream::agent_table::subscriptions;
 use crate::stream::balancer;
@@ -39,13 +40,14 @@
     pub(super) fn merge_member_list(
         &mut self,
         members: &[stream::AnnouncedMember],
+        epoch: store_epoch::StoreEpoch,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
         for member in members {
             self.insert_member(member, now);
         }
-        self.has_member_list = true;
+        self.member_list.on_read(epoch, now);
         self.renew_subscriptions(now, actions);
         self.report_to_all(now, actions);
     }
@@ -108,7 +110,7 @@
         if report.generation > self.state.generation() {
             actions.push(stream::StreamAction::FetchConfig(from));
         }
-        self.advance_store_epoch(report.store_epoch, actions);
+        self.advance_store_epoch(report.store_epoch, now, actions);
         self.merge_evacuations(&report.evacuations, now, actions);
     }
 
@@ -172,7 +174,8 @@
     ///
     /// Gossip spreads members that started while the platform is unreachable, and shows which members
     /// still run. The recipient is drawn from all balancers, not from the neighbours, which seldom change:
-    /// so every balancer hears of every member sooner or later.
+    /// so every balancer hears of every member sooner or later. Balancers that are leaving get it too, since
+    /// they still search for streams.
     pub(super) fn gossip_members(
         &mut self,
         now: ids::UnixMillis,
@@ -180,8 +183,7 @@
     ) {
         let to_any_centre = self.random.random_range(0..CROSS_CENTRE_GOSSIP_ONE_IN) == 0;
         let own = Some(self.config.data_centre);
-        let seen =
-            || self.peers.iter().filter(|(_, peer)| peer.is_recently_seen(now) && !peer.is_leaving);
+        let seen = || self.peers.iter().filter(|(_, peer)| peer.is_recently_seen(now));
         let near = seen().filter(|(_, peer)| !to_any_centre && peer.data_centre == own);
         let recipient = near.choose(&mut self.random).or_else(|| seen().choose(&mut self.random));
         let recipient = recipient.map(|(address, _)| *address);
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -6,6 +6,7 @@
 use crate::stream;
 use crate::stream::agent_table::liveness;
 use crate::stream::balancer;
+use crate::stream::balancer::member_list;
 use crate::stream::log_event;
 use crate::stream::lookup;
 use crate::stream::message;
@@ -90,7 +91,7 @@
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
-        let knows_all_members = self.has_member_list;
+        let knows_all_members = self.member_list.gap(now).is_none();
         let holders = liveness::PossibleHolders {
             knows_all_members,
             ..self.table.holders(service, &self.lost_centres, now)
@@ -164,16 +165,25 @@
             lookup::SearchStep::Concluded(search) => {
                 self.conclude_search(key, &search, now, actions);
             }
-            lookup::SearchStep::GivenUp(search) => {
-                actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::NotFound {
-                    stream: key,
-                    asked: search.denials() + search.missing_answers() + search.candidates().len(),
-                    denied: search.denials(),
-                }));
-            }
+            lookup::SearchStep::GivenUp(search) => self.log_not_found(key, &search, now, actions),
         }
     }
 
+    fn log_not_found(
+        &self,
+        key: segment::StreamKey,
+        search: &lookup::OwnerSearch,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        actions.push(stream::StreamAction::Log(log_event::StreamLogEvent::NotFound {
+            stream: key,
+            asked: search.denials() + search.missing_answers() + search.candidates().len(),
+            denied: search.denials(),
+            members_gap: self.member_list.gap(now).map(member_list::MemberListGap::label),
+        }));
+    }
+
     /// Forwards a segment to the next possible holder after one returned it, or resets or searches for
     /// the stream if none is left.
     pub(super) fn forward_to_next_holder(
@@ -197,17 +207,19 @@
         }
         let target = owner.holders.first().map(|(agent, _)| *agent);
         let (is_ended, search) = (owner.is_ended, owner.search);
-        match target {
-            Some(agent) => {
+        match (target, search) {
+            (Some(agent), _) => {
                 self.forward_segment(agent, message::CarryKind::Held, segment.bytes, actions, key);
             }
             // The caller has ended the stream, so its last segments are not needed.
-            None if is_ended => self.owners.remove(key),
-            None if search == owners::SearchState::Complete => {
+            (None, _) if is_ended => self.owners.remove(key),
+            (None, owners::SearchState::Complete { asked })
+                if self.member_list.is_complete_since(asked, now) =>
+            {
                 let expected = segment.head.acknowledged;
                 self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
             }
-            None => {
+            (None, _) => {
                 self.owners.remove(key);
                 let service = self.service_at(key);
                 self.search(key, service, segment, now, actions);
@@ -249,8 +261,8 @@
     /// Ends a search that all agents, or all but the candidates, have denied: keeps the candidates as
     /// possible holders, or resets the stream if there are none.
     ///
-    /// The reset lets the caller retry before its deadline. It is safe because each process announces
-    /// itself before it reads the list of members, so of any two at least one knows the other.
+    /// The reset lets the caller retry before its deadline. If members may have been missing since the
+    /// agents were queried, the caller's next segment starts another search instead.
     fn conclude_search(
         &mut self,
         key: segment::StreamKey,
@@ -260,11 +272,15 @@
     ) {
         let Some((agent, candidates)) = search.candidates().split_last() else {
             let expected = search.caller_expects;
-            return self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
+            match self.member_list.is_complete_since(search.asked, now) {
+                true => self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions),
+                false => self.log_not_found(key, search, now, actions),
+            }
+            return;
         };
         let owner = owners::StreamOwner {
             candidates: candidates.to_vec(),
-            search: owners::SearchState::Complete,
+            search: owners::SearchState::Complete { asked: search.asked },
             ..owners::StreamOwner::held_by(*agent, now)
         };
         self.owners.insert(key, owner);
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug)]
 pub struct OwnerSearch {
     phase: SearchPhase,
+    /// When agents were last queried.
+    pub asked: ids::UnixMillis,
     /// When the current phase began, or the caller's last segment arrived at a suspended search.
     began: ids::UnixMillis,
     /// How many other agents were not queried because they are presumed to hold no stream.
@@ -87,6 +89,7 @@
     fn new(caller_expects: u32, now: ids::UnixMillis) -> OwnerSearch {
         OwnerSearch {
             phase: SearchPhase::Asking,
+            asked: now,
             began: now,
             presumed_gone: 0,
             knows_all_members: false,
@@ -114,6 +117,7 @@
         now: ids::UnixMillis,
     ) -> Vec<net::SocketAddrV4> {
         self.phase = SearchPhase::Asking;
+        self.asked = now;
         self.began = now;
         self.waiting.clear();
         self.presumed_gone = holders.presumed_gone;
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -84,8 +84,19 @@
     Seeds(Vec<net::SocketAddrV4>),
     /// The data centres that operators have evacuated, as the platform lists them.
     Evacuations(evacuation::EvacuationState),
-    /// Every process announced on the platform, read after this one announced itself.
-    Members(Vec<AnnouncedMember>),
+    /// Every process announced on the platform.
+    Members {
+        /// The other processes.
+        members: Vec<AnnouncedMember>,
+        /// The epoch of the platform's store in which this process was announced before the list was
+        /// read.
+        epoch: store_epoch::StoreEpoch,
+    },
+    /// The platform's store holds the announcement of this process, and held it all the time up to this
+    /// epoch.
+    Announced(store_epoch::StoreEpoch),
+    /// The announcement of this process is about to be withdrawn.
+    Withdrawn,
     /// Whether the last call to the platform succeeded.
     Platform(bool),
     /// The epoch of the platform's store, as its answers give it.
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -31,7 +31,10 @@
     #[default]
     NotSearched,
     /// Every agent except the candidates has denied the stream.
-    Complete,
+    Complete {
+        /// When the agents were queried.
+        asked: ids::UnixMillis,
+    },
 }
 
 /// The destination of a repeated opening.
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -8,6 +8,7 @@
 mod delivery;
 pub(crate) mod evacuations;
 mod hosts;
+mod members;
 mod oracle;
 
 use std::collections;
@@ -128,6 +129,8 @@
     /// Every pair of entry and service that any configuration has contained.
     allowed_routes: collections::BTreeSet<(net::SocketAddrV4, String)>,
     announced_members: collections::BTreeSet<(net::SocketAddrV4, Option<ids::ServiceId>)>,
+    /// How many restores of the store have lost announcements.
+    member_epoch: u64,
     /// Largest number of openings at a backend server in any second of its slow start.
     pub(crate) slow_start_limit: usize,
     /// Whether evacuations are enabled in the settings.
@@ -177,6 +180,7 @@
             reconnected_at: collections::BTreeMap::new(),
             allowed_routes: collections::BTreeSet::new(),
             announced_members: collections::BTreeSet::new(),
+            member_epoch: 0,
             slow_start_limit: usize::MAX,
             has_evacuations: false,
             evacuations_are_readable: true,
@@ -307,18 +311,6 @@
         self.deliver_config(address);
     }
 
-    pub(crate) fn deliver_members(&mut self, address: net::SocketAddrV4) {
-        let others = self.announced_members.iter().filter(|(member, _)| *member != address);
-        let members = others
-            .map(|(address, service)| stream::AnnouncedMember {
-                address: *address,
-                service: *service,
-                data_centre: Some(ids::hash_data_centre(self.data_centre_of(*address))),
-            })
-            .collect();
-        self.handle(address, stream::StreamEvent::Members(members));
-    }
-
     /// Powers off the machine of an agent and its backend server.
     pub(crate) fn power_off_machine(&mut self, nth: u8) {
         self.kill_host(nth);
@@ -339,6 +331,7 @@
             self.deliver_due();
             self.run_hosts();
             self.poll_platform();
+            self.poll_member_lists();
             if self.now.0.is_multiple_of(20) {
                 let all: Vec<_> =
                     self.balancers.keys().chain(self.agents.keys()).copied().collect();
--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -22,8 +22,8 @@
 /// every search for a stream; fleets of 14,000 balancers are expected.
 const MEMBER_LIMIT: usize = 16_384;
 
-/// Interval between reads of the list of members while no balancer reports to this process, in
-/// milliseconds.
+/// Interval between reads of the list of members while no balancer reports to this process or members may
+/// be missing, in milliseconds.
 const REDISCOVERY_INTERVAL_MS: u64 = 1_000;
 
 /// How long a balancer waits at a fleet's first start until all processes are announced, in
@@ -38,15 +38,16 @@
 /// Interval between checks for a balancer's report, in milliseconds.
 const BALANCER_POLL_MS: u64 = 100;
 
-/// Announces this process, then reads the list of members at start and whenever no balancer reports
-/// to this process.
+/// Announces this process, then reads the list of members at start, whenever no balancer reports to this
+/// process, and when members may be missing.
 ///
 /// Announcing first ensures that of two processes that start together, at least one sees the other.
 pub(crate) async fn discover_members(context: rc::Rc<context::ControlContext>) {
     let mut delay_ms = backoff::MIN_DELAY_MS;
     let mut has_read = context.streams().first_start && join_first_start(&context).await;
     loop {
-        if has_read && status::is_set(&context.status.reaches_balancer) {
+        let needs_list = status::is_set(&context.status.needs_member_list);
+        if has_read && !needs_list && status::is_set(&context.status.reaches_balancer) {
             backoff::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
             if may_lack_announcement(&context) {
                 backoff::sleep_ms(backoff::random_delay(platform::ANNOUNCE_SPREAD_MS)).await;
@@ -58,10 +59,10 @@
             continue;
         }
         match announce_and_read(&context).await {
-            Ok(members) => {
+            Ok(read) => {
                 context.record_platform_result(Ok(())).await;
                 has_read = true;
-                context.send_input(packets::StreamInput::Members(members)).await;
+                context.send_input(read).await;
                 backoff::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
             }
             Err(error) => {
@@ -107,7 +108,7 @@
 /// Without it, a process that starts would not query this one about streams that it does not know,
 /// and could reset an open stream.
 fn may_lack_announcement(context: &context::ControlContext) -> bool {
-    let announced = context.announced.get().filter(|_| !context.is_leaving.get());
+    let announced = context.announced.get().filter(|_| !context.has_withdrawn.get());
     announced.is_some_and(|announced| predates_restore(context, announced))
 }
 
@@ -119,30 +120,34 @@
     announced.epoch.0 < context.status.store_epoch.load(atomic::Ordering::Relaxed)
 }
 
-/// Writes the announcement again if the restored store lacks it.
+/// Writes the announcement again if the restored store lacks it. Then also reads the list of members:
+/// processes that started meanwhile did not find this one.
 async fn announce_again(context: &context::ControlContext) -> Result<(), platform::StoreError> {
     let store = context.platform_client.borrow().store.clone();
     let found = store.get(&announcement_key(context)).await?;
     match found.filter(|object| is_own(context, object)) {
         Some(object) => {
             context.announced.set(Some(object.version));
-            Ok(())
+            context.send_input(packets::StreamInput::Announced(object.version.epoch)).await;
         }
         None => {
             logs::event(&serde_json::json!({ "event": "announced_again" }));
-            announce(context, platform::WriteCondition::Always).await
+            announce(context, platform::WriteCondition::Always).await?;
+            let objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
+            context.send_input(members_input(context, &objects)).await;
         }
     }
+    Ok(())
 }
 
 async fn announce_and_read(
     context: &context::ControlContext,
-) -> Result<Vec<stream::AnnouncedMember>, platform::StoreError> {
+) -> Result<packets::StreamInput, platform::StoreError> {
     let store = context.platform_client.borrow().store.clone();
     if may_lack_announcement(context) {
         context.announced.set(None);
     }
-    let must_announce = context.announced.get().is_none() && !context.is_leaving.get();
+    let must_announce = context.announced.get().is_none() && !context.has_withdrawn.get();
     if must_announce {
         announce(context, platform::WriteCondition::Absent).await?;
     }
@@ -158,8 +163,18 @@
             }
         }
     }
+    Ok(members_input(context, &objects))
+}
+
+/// The input with the members in a list that was read after this process announced itself.
+fn members_input(
+    context: &context::ControlContext,
+    objects: &[platform::StoredObject],
+) -> packets::StreamInput {
     let members = objects.iter().filter_map(parse_member);
-    Ok(members.filter(|member| member.address != context.own_address).collect())
+    let members = members.filter(|member| member.address != context.own_address).collect();
+    let announced = context.announced.get().unwrap_or_default();
+    packets::StreamInput::Members { members, epoch: announced.epoch }
 }
 
 /// Writes this process's announcement; an announcement that exists already is not an error.
@@ -211,10 +226,11 @@
 /// and wait for its answer in searches. It is kept while the backend server runs, because the agent
 /// is expected to restart and searches must include it.
 pub(crate) async fn withdraw(context: &context::ControlContext) {
-    context.is_leaving.set(true);
+    context.has_withdrawn.set(true);
     if status::is_set(&context.status.holds_streams) {
         return;
     }
+    context.send_input(packets::StreamInput::Withdrawn).await;
     let Some(version) = context.announced.take() else { return };
     let store = context.platform_client.borrow().store.clone();
     // After a restore, the same version may identify an object of another writer.
--- a/crates/node/src/stream/context.rs
+++ b/crates/node/src/stream/context.rs
@@ -48,6 +48,8 @@
     /// The epoch of the store that was last sent to the packet thread.
     pub(crate) sent_epoch: cell::Cell<store_epoch::StoreEpoch>,
     pub(crate) is_leaving: cell::Cell<bool>,
+    /// Whether the announcement of this process has been withdrawn, so it is not written again.
+    pub(crate) has_withdrawn: cell::Cell<bool>,
 }
 
 impl ControlContext {
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -16,6 +16,7 @@
 use rosemaryusher_core::stream::balancer;
 use rosemaryusher_core::stream::slow_start;
 use smol::channel;
+use smol::future::FutureExt as _;
 
 use crate::clock;
 use crate::logs;
@@ -48,6 +49,10 @@
 /// Interval between checks of whether a shutdown is complete, in milliseconds.
 const SHUTDOWN_POLL_MS: u64 = 50;
 
+/// How long a balancer waits for the removal of its announcement before it exits, in milliseconds; within
+/// [`SHUTDOWN_MARGIN_MS`]. A removal that takes longer may still be carried out.
+const WITHDRAWAL_TIMEOUT_MS: u64 = 700;
+
 /// Time without an incoming segment after which none is in flight, in milliseconds.
 const QUIET_MS: u64 = 300;
 
@@ -167,6 +172,7 @@
         announced: cell::Cell::new(None),
         sent_epoch: cell::Cell::default(),
         is_leaving: cell::Cell::new(false),
+        has_withdrawn: cell::Cell::new(false),
     });
     smol::block_on(executor.run(async {
         control::start(&context, fetch_receiver).await?;
@@ -198,14 +204,20 @@
 ///
 /// No state is handed over: any balancer can find a stream's owner, and a backend server keeps its
 /// streams while its agent is down.
+///
+/// A balancer stays announced until it takes no more segments: an agent that starts meanwhile must find it,
+/// or the balancer would reset streams at that agent.
 async fn shut_down(context: &context::ControlContext) {
     logs::event(&serde_json::json!({ "event": "leaving" }));
+    context.is_leaving.set(true);
+    let started = time::Instant::now();
     backend_probes::probe(context).await;
     context.send_input(packets::StreamInput::Leave).await;
     // Lets the packet thread publish whether the backend server may hold streams.
     smol::Timer::after(time::Duration::from_millis(SHUTDOWN_POLL_MS)).await;
-    announce::withdraw(context).await;
-    let started = time::Instant::now();
+    if context.service.is_some() {
+        announce::withdraw(context).await;
+    }
     let grace = time::Duration::from_secs(context.streams().grace_s);
     let max_duration = grace.saturating_sub(time::Duration::from_millis(SHUTDOWN_MARGIN_MS));
     let min_duration = match context.service.is_none() {
@@ -228,6 +240,12 @@
         }
         smol::Timer::after(time::Duration::from_millis(SHUTDOWN_POLL_MS)).await;
     }
+    if context.service.is_none() {
+        let timed_out = async {
+            smol::Timer::after(time::Duration::from_millis(WITHDRAWAL_TIMEOUT_MS)).await;
+        };
+        announce::withdraw(context).or(timed_out).await;
+    }
     logs::event(&serde_json::json!({ "event": "left", "after_ms": started.elapsed().as_millis() }));
     logs::flush();
 }
--- a/crates/node/src/stream/engine.rs
+++ b/crates/node/src/stream/engine.rs
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Whether the list of members must be read from the platform now.
+    pub fn needs_member_list(&self, now: ids::UnixMillis) -> bool {
+        match self {
+            StreamEngine::Balancer(engine) => engine.needs_member_list(now),
+            StreamEngine::Agent(_) => false,
+        }
+    }
+
     /// Whether a shutdown has to wait for work in progress.
     pub fn is_busy(&self) -> bool {
         match self {
@@ -135,6 +143,7 @@
     serde_json::json!({
         "owners": owners,
         "searches": searches,
+        "members_gap": engine.member_list_gap(now).map(|gap| gap.label()),
         "evacuations": engine.evacuations(),
         "store_epoch": engine.store_epoch(),
         "agents": agents.collect::<Vec<_>>(),
--- a/crates/node/src/stream/packets.rs
+++ b/crates/node/src/stream/packets.rs
@@ -46,7 +46,16 @@
     /// The data centres that operators have evacuated.
     Evacuations(evacuation::EvacuationState),
     /// Every process that is announced on the platform.
-    Members(Vec<stream::AnnouncedMember>),
+    Members {
+        /// The other processes.
+        members: Vec<stream::AnnouncedMember>,
+        /// The epoch of the store in which this process was announced before the list was read.
+        epoch: store_epoch::StoreEpoch,
+    },
+    /// The store holds the announcement of this process, and held it all the time up to this epoch.
+    Announced(store_epoch::StoreEpoch),
+    /// The announcement of this process is about to be withdrawn.
+    Withdrawn,
     /// Whether the last call to the platform succeeded.
     Platform(bool),
     /// The epoch of the platform's store, from its answers.
@@ -250,7 +259,11 @@
             StreamInput::Config(state) => stream::StreamEvent::Config(state),
             StreamInput::Seeds(seeds) => stream::StreamEvent::Seeds(seeds),
             StreamInput::Evacuations(state) => stream::StreamEvent::Evacuations(state),
-            StreamInput::Members(members) => stream::StreamEvent::Members(members),
+            StreamInput::Members { members, epoch } => {
+                stream::StreamEvent::Members { members, epoch }
+            }
+            StreamInput::Announced(epoch) => stream::StreamEvent::Announced(epoch),
+            StreamInput::Withdrawn => stream::StreamEvent::Withdrawn,
             StreamInput::Platform(reaches) => stream::StreamEvent::Platform(reaches),
             StreamInput::StoreEpoch(epoch) => stream::StreamEvent::StoreEpoch(epoch),
             StreamInput::HostReport(report) => stream::StreamEvent::HostReport(report),
@@ -278,6 +291,7 @@
         self.status.store_epoch.store(store_epoch, atomic::Ordering::Relaxed);
         status::set(&self.status.is_watcher, self.engine.is_watcher());
         status::set(&self.status.reaches_balancer, self.engine.reaches_balancer());
+        status::set(&self.status.needs_member_list, self.engine.needs_member_list(now));
         status::set(&self.status.is_busy, self.engine.is_busy());
         status::set(&self.status.holds_streams, self.engine.holds_streams());
     }
--- a/crates/node/src/stream/status.rs
+++ b/crates/node/src/stream/status.rs
@@ -11,6 +11,8 @@
     pub(crate) is_watcher: atomic::AtomicBool,
     /// Whether balancers report to the process, and so pass changes on to it.
     pub(crate) reaches_balancer: atomic::AtomicBool,
+    /// Whether the list of members must be read again.
+    pub(crate) needs_member_list: atomic::AtomicBool,
     /// Whether the process knows a list of evacuated data centres.
     pub(crate) knows_evacuations: atomic::AtomicBool,
     /// The latest known epoch of the platform's store, from its answers or from balancers.
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -110,7 +110,7 @@
 stream-searched-reset	crates/core/src/stream/host_streams.rs	s/if is_open && stream\.is_known\(\) \{/if is_open {/	-p rosemaryusher-core --test host_stopped probed_while_stopping
 stream-dead-end	crates/core/src/stream/agent/admission.rs	s/false if self\.phase\(now\) == host::HostPhase::Gone => \{/false if false => {/	-p rosemaryusher-core --test host_stopped retransmission_elsewhere
 stream-held-denied	crates/core/src/stream/agent/host_events.rs	s/is_some_and\(\|stream\| stream\.is_only_probed\)/is_some_and(|stream| !stream.is_opened_by_this_agent)/	-p rosemaryusher-core --test stream_search opening_lost
-stream-list-after-search	crates/core/src/stream/lookup.rs	s/self\.knows_all_members && self\.unanswered/self.unanswered/	-p rosemaryusher-core --test stream_search list_arrives_during_search
+stream-list-after-search	crates/core/src/stream/lookup.rs crates/core/src/stream/balancer/routing.rs	s/self\.knows_all_members && self\.unanswered/self.unanswered/;s/match self\.member_list\.is_complete_since\(search\.asked, now\)/match true/	-p rosemaryusher-core --test stream_search list_arrives_during_search
 stream-oldest-first	crates/core/src/stream/waiting.rs	s/else \{ sent \};/else { u64::MAX - sent };/;s/\(self\.is_in_time\(work_ms, now\), /(true, /	-p rosemaryusher-core --test admission_queue fresh_first
 stream-hopeless-kept	crates/core/src/stream/waiting.rs	s/\|opening\| !opening\.is_viable\(work_ms, now\)/|_| false/	-p rosemaryusher-core --test admission_queue hopeless_refused
 stream-copy-placed-twice	crates/core/src/stream/owners.rs	s/if self\.queued\.last\(\) == Some\(last\)/if self.queued.last() == Some(last) \&\& false/	-p rosemaryusher-core --test admission_queue copy_waits
@@ -163,7 +163,12 @@
 failed-not-replaced	crates/core/src/stream/agent_table/subscriptions.rs	s/responsive \+= usize::from\(!is_unresponsive\)/responsive += 1/	-p rosemaryusher-core --test agent_subscriptions failed_ones_replaced
 no-successors	crates/core/src/stream/balancer/neighbours.rs	s/const SUCCESSOR_COUNT: usize = 8/const SUCCESSOR_COUNT: usize = 0/	-p rosemaryusher-core --test stream_fleet three_watchers
 unseen-neighbours-kept	crates/core/src/stream/balancer/neighbours.rs	s/let seen = self\.peers\.iter\(\)\.filter\(\|\(_, peer\)\| peer\.is_recently_seen\(now\)\);/let seen = self.peers.iter();/	-p rosemaryusher-core --test stream_fleet three_watchers
-parts-to-reporters	crates/core/src/stream/balancer/neighbours.rs	s/peer\.is_recently_seen\(now\) && !peer\.is_leaving/peer.is_reachable/	-p rosemaryusher-core --test stream_fleet few_false_timeouts
+parts-to-reporters	crates/core/src/stream/balancer/neighbours.rs	s/let seen = \|\| self\.peers\.iter\(\)\.filter\(\|\(_, peer\)\| peer\.is_recently_seen\(now\)\);/let seen = || self.peers.iter().filter(|(_, peer)| peer.is_reachable);/	-p rosemaryusher-core --test stream_fleet few_false_timeouts
+list-kept-unannounced	crates/core/src/stream/balancer/member_list.rs	s/_ if self\.is_withdrawn => Some\(MemberListGap::Withdrawn\),//	-p rosemaryusher-core --test member_list agent_added_after_withdrawal
+list-kept-after-restore	crates/core/src/stream/balancer/member_list.rs	s/self\.announced_epoch < self\.store_epoch/false/	-p rosemaryusher-core --test member_list announcement_lost
+list-kept-cut-off	crates/core/src/stream/balancer/member_list.rs	s/const MAX_SILENCE_MS: u64 = 900/const MAX_SILENCE_MS: u64 = 90_000/	-p rosemaryusher-core --test member_list agent_added_while_cut_off
+list-completed-after-query	crates/core/src/stream/balancer/member_list.rs	s/\|complete\| complete <= since/|_| true/	-p rosemaryusher-core --test member_list gaps
+no-gossip-while-leaving	crates/core/src/stream/balancer/neighbours.rs	s/let seen = \|\| self\.peers\.iter\(\)\.filter\(\|\(_, peer\)\| peer\.is_recently_seen\(now\)\);/let seen = || self.peers.iter().filter(|(_, peer)| peer.is_recently_seen(now) \&\& !peer.is_leaving);/	-p rosemaryusher-core --test member_list gossip_while_leaving
 TABLE
 }
 
