Open streams stay where they opened when a configuration moves their route to another service

Cause: the service of an open stream was read from the configuration in force. The balancer labelled the segment with the new service, the agent that holds the stream returned it, and the search that followed left out all agents of the former service, so every agent that was asked denied the stream. A balancer that did not know the holder did the second alone.

Ruled out: the configuration (the route is in both versions), messages lost or late (undisturbed for 10 s).

Change: only an opening depends on the configuration. A segment of an open stream carries the service that the balancer knows the agent by, and an agent returns one of another service only if it surely does not hold the stream. A search asks the agents of the present service and of those of the last 70 s (stream limit and propagation), which balancer::service_history keeps; balancers send each other these changes at once, at first contact and with gossip. One that cannot know every change, or knows of a newer configuration than its own, asks all agents. A change that becomes known during a search ends it without a reset.

Weighed: asking all agents on each miss (messages times services; the fleet would have 34,000 addresses), agents that report what they hold of other services (balancers get reports of a few agents of each service only), an object in the store (a call for each change and start, and it may be away).

Why this works: the agent is the authority on its streams, and none that may hold one is left out unless every change of that time is known. The message is a new kind, which older processes drop; labels of older balancers are accepted.

--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -38,7 +38,8 @@
         match segment.head.is_opening() {
             true if self.pause.is_resuming(now) => {}
             true => self.on_opening(from, carry, segment, now, actions),
-            false if carry.service != self.config.service => {
+            // The address has been reused: the balancer means its former user.
+            false if carry.service != self.config.service && self.does_not_hold(key, now) => {
                 let reason = message::ReturnReason::OtherService;
                 let message = self.return_message(reason, segment.bytes, now);
                 actions.push(stream::StreamAction::Send(from, message));
@@ -270,6 +271,11 @@
         regions.is_empty() || own.is_some_and(|own| regions.contains(own))
     }
 
+    /// Whether the backend server surely does not hold a stream.
+    fn does_not_hold(&self, key: segment::StreamKey, now: ids::UnixMillis) -> bool {
+        self.host_streams.get(key).is_none() && self.knows_all_streams(now)
+    }
+
     /// Whether the caller accepted another backend server's answer, so that the stream stays
     /// half-open here.
     pub(super) fn is_half_open_duplicate(
--- a/crates/core/src/stream/agent_table/exclusion.rs
+++ b/crates/core/src/stream/agent_table/exclusion.rs
@@ -1,23 +1,23 @@
 //! Which agents a search leaves out, and on what evidence.
 //!
 //! A search resets a stream once every agent that it waited for has denied it. So an agent is left out
-//! only with evidence that its backend server holds no stream of the service at this moment. A report
+//! only with evidence that its backend server does not hold the stream at this moment. A report
 //! is such evidence only about the past: the backend server may have started after it, and the report
 //! of that may be lost.
 //!
 //! | the agent | left out if |
 //! |---|---|
 //! | in a lost data centre | always: its machines leave probes unanswered, and no balancer receives reports from it |
-//! | whose reports arrive | it reports another service |
+//! | whose reports arrive | it reports a service that the stream cannot have opened at (`service_history`) |
 //! | whose reports have stopped | its backend server had stopped before, and no other balancer has mentioned it since |
-//! | that has never reported here | it is announced with another service, or its machine is presumed lost |
+//! | that has never reported here | it is announced with such a service, or its machine is presumed lost |
 
 /// Why a search leaves an agent out.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SearchExclusion {
     /// Its data centre is lost.
     CentreLost,
-    /// Its backend server belongs to another service.
+    /// Its backend server belongs to a service that the stream cannot have opened at.
     OtherService,
     /// Its backend server had stopped, and then the agent.
     Departed,
@@ -64,7 +64,7 @@
     pub contact: AgentContact,
     /// Whether its data centre is lost.
     pub is_in_lost_centre: bool,
-    /// Whether its last known service is another one, and nothing contradicts that.
+    /// Whether the stream cannot have opened at its last known service, and nothing contradicts that service.
     pub is_of_other_service: bool,
 }
 
--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -8,6 +8,7 @@
 use crate::stream::agent_table;
 use crate::stream::agent_table::exclusion;
 use crate::stream::agent_table::subscriptions;
+use crate::stream::balancer::service_history;
 use crate::stream::host;
 
 /// How long an agent is kept that no balancer receives reports from, in milliseconds.
@@ -37,6 +38,8 @@
     pub presumed_gone: usize,
     /// Whether all announced members were known when these agents were listed.
     pub knows_all_members: bool,
+    /// Whether agents of every service were listed.
+    pub are_of_any_service: bool,
 }
 
 impl agent_table::AgentTable {
@@ -161,16 +164,19 @@
         silent.map(|(centre, _)| centre).collect()
     }
 
-    /// The agents that may hold a stream of a service.
+    /// The agents that may hold a stream of these services.
     pub fn holders(
         &self,
-        service: Option<ids::ServiceId>,
+        services: &service_history::ServiceScope,
         lost_centres: &collections::BTreeSet<u32>,
         now: ids::UnixMillis,
     ) -> PossibleHolders {
-        let mut holders = PossibleHolders::default();
+        let mut holders = PossibleHolders {
+            are_of_any_service: *services == service_history::ServiceScope::Any,
+            ..PossibleHolders::default()
+        };
         for (address, known) in &self.agents {
-            match self.evidence(known, service, lost_centres, now).exclusion() {
+            match self.evidence(known, services, lost_centres, now).exclusion() {
                 None => holders.agents.push(*address),
                 Some(exclusion) => holders.presumed_gone += usize::from(exclusion.is_presumed()),
             }
@@ -181,16 +187,16 @@
     fn evidence(
         &self,
         known: &agent_table::KnownAgent,
-        service: Option<ids::ServiceId>,
+        services: &service_history::ServiceScope,
         lost_centres: &collections::BTreeSet<u32>,
         now: ids::UnixMillis,
     ) -> exclusion::AgentEvidence {
-        // An agent of unknown service may belong to this one.
-        let is_other = |service| known.service.is_some_and(|of| of != service);
+        // An agent of unknown service may belong to one of these.
+        let is_other = known.service.is_some_and(|service| !services.contains(service));
         exclusion::AgentEvidence {
             contact: self.contact(known, now),
             is_in_lost_centre: known.data_centre.is_some_and(|of| lost_centres.contains(&of)),
-            is_of_other_service: !known.is_service_disputed && service.is_some_and(is_other),
+            is_of_other_service: !known.is_service_disputed && is_other,
         }
     }
 
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -8,6 +8,7 @@
 //! | `neighbours` | reports exchanged with agents and other balancers, and gossip about members |
 //! | `openings` | placement of new streams |
 //! | `routing` | segments of open streams, and the search for a stream's holder |
+//! | [`service_history`] | which services may hold the streams of an entry |
 
 mod centres;
 mod evacuations;
@@ -15,6 +16,7 @@
 mod neighbours;
 mod openings;
 mod routing;
+pub mod service_history;
 
 use std::collections;
 use std::net;
@@ -90,6 +92,9 @@
 pub struct StreamBalancer {
     config: stream::StreamConfig,
     state: sync::Arc<config::ConfigState>,
+    /// The newest generation that any process has reported.
+    newest_generation: ids::ConfigGeneration,
+    service_history: service_history::ServiceHistory,
     table: agent_table::AgentTable,
     evacuations: evacuation::KnownEvacuations,
     /// The latest known epoch of the platform's store.
@@ -119,6 +124,11 @@
     pub fn new(config: stream::StreamConfig, now: ids::UnixMillis) -> StreamBalancer {
         StreamBalancer {
             state: sync::Arc::default(),
+            newest_generation: ids::ConfigGeneration(0),
+            service_history: service_history::ServiceHistory::new(
+                config.stream_limit_s,
+                config.is_first_start,
+            ),
             table: agent_table::AgentTable::new(&config, now),
             evacuations: evacuation::KnownEvacuations::default(),
             store_epoch: store_epoch::StoreEpoch::default(),
@@ -161,16 +171,7 @@
                 self.member_list.on_message(now);
                 self.on_message(from, message, head, now, actions);
             }
-            stream::StreamEvent::Config(state) => {
-                if state.generation() > self.state.generation() {
-                    let generation = state.generation();
-                    actions.push(stream::StreamAction::Log(
-                        log_event::StreamLogEvent::ConfigInForce { generation },
-                    ));
-                    self.state = state;
-                    self.report_to_all(now, actions);
-                }
-            }
+            stream::StreamEvent::Config(state) => self.apply_config(state, now, actions),
             stream::StreamEvent::Seeds(seeds) => {
                 for balancer in seeds {
                     self.insert_peer(balancer, now);
@@ -229,10 +230,47 @@
             (message::StreamMessage::Members(members), _) => {
                 self.on_reachable_members(members, now, actions);
             }
+            (message::StreamMessage::FormerServices(former), _) => {
+                self.on_former_services(from, former, now, actions);
+            }
             _ => {}
         }
     }
 
+    /// Brings a newer configuration into force, and reports it to all.
+    fn apply_config(
+        &mut self,
+        state: sync::Arc<config::ConfigState>,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let generation = state.generation();
+        if generation <= self.state.generation() {
+            return;
+        }
+        let log_event = log_event::StreamLogEvent::ConfigInForce { generation };
+        actions.push(stream::StreamAction::Log(log_event));
+        let has_moved_entries = self.service_history.on_config(&self.state, &state, now);
+        self.state = state;
+        if has_moved_entries {
+            self.send_former_services(now, actions);
+        }
+        self.report_to_all(now, actions);
+    }
+
+    /// Fetches the configuration of another process if it is newer.
+    fn fetch_newer_config(
+        &mut self,
+        from: net::SocketAddrV4,
+        generation: ids::ConfigGeneration,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        self.newest_generation = self.newest_generation.max(generation);
+        if generation > self.state.generation() {
+            actions.push(stream::StreamAction::FetchConfig(from));
+        }
+    }
+
     fn tick(&mut self, now: ids::UnixMillis, actions: &mut Vec<stream::StreamAction>) {
         let width = self.config.policy.recovery.search_width;
         for (key, step) in self.searches.expire(width, now) {
@@ -259,6 +297,7 @@
         self.owners.rotate(now);
         if now.since(self.last_report_check) >= MIN_REPORT_INTERVAL_MS {
             self.last_report_check = now;
+            self.service_history.expire(now);
             self.expire_peers(now, actions);
             self.send_due_reports(now, actions);
             self.gossip_members(now, actions);
@@ -337,6 +376,11 @@
         &self.table
     }
 
+    /// Whether no process has reported a newer configuration than that in force here.
+    fn has_newest_config(&self) -> bool {
+        self.newest_generation <= self.state.generation()
+    }
+
     fn service_at(&self, key: segment::StreamKey) -> Option<ids::ServiceId> {
         let entry = self.state.entry_at(net::SocketAddr::V4(key.entry));
         entry.filter(|e| e.kind == config::EntryKind::Streams).map(|entry| entry.service)
--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -68,9 +68,7 @@
             }));
             self.ask_returned_agent(from, actions);
         }
-        if report.generation > self.state.generation() {
-            actions.push(stream::StreamAction::FetchConfig(from));
-        }
+        self.fetch_newer_config(from, report.generation, actions);
     }
 
     pub(super) fn on_balancer_report(
@@ -103,17 +101,50 @@
                 for part in self.reachable_members() {
                     actions.push(stream::StreamAction::Send(from, part));
                 }
+                actions.push(stream::StreamAction::Send(from, self.former_services(now)));
             } else if !report.wants_reports {
                 actions.push(stream::StreamAction::Send(from, self.own_report(now)));
             }
         }
-        if report.generation > self.state.generation() {
-            actions.push(stream::StreamAction::FetchConfig(from));
-        }
+        self.fetch_newer_config(from, report.generation, actions);
         self.advance_store_epoch(report.store_epoch, now, actions);
         self.merge_evacuations(&report.evacuations, now, actions);
     }
 
+    /// Merges the changes of services that another balancer knows of. Passes new ones on, and sends the own
+    /// ones if the other balancer has not run long enough to know them.
+    pub(super) fn on_former_services(
+        &mut self,
+        from: net::SocketAddrV4,
+        former: &message::FormerServices,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let has_changed = self.service_history.merge(former, now);
+        if has_changed {
+            self.send_former_services(now, actions);
+        }
+        if self.service_history.knows_more_than(former, now) {
+            actions.push(stream::StreamAction::Send(from, self.former_services(now)));
+        }
+    }
+
+    /// Sends the known changes of services to all neighbours, each of which passes on what is new to it.
+    pub(super) fn send_former_services(
+        &self,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        let message = self.former_services(now);
+        let peers = self.neighbours(now).into_iter();
+        actions.extend(peers.map(|peer| stream::StreamAction::Send(peer, message.clone())));
+    }
+
+    fn former_services(&self, now: ids::UnixMillis) -> message::StreamMessage {
+        let former = self.service_history.message(self.state.generation(), now);
+        message::StreamMessage::FormerServices(former)
+    }
+
     /// Merges the members that another balancer gossips as reachable.
     pub(super) fn on_reachable_members(
         &mut self,
@@ -169,8 +200,8 @@
         }
     }
 
-    /// Gossips a random part of the members reachable from here to one other balancer, chosen at random and
-    /// most often from the same data centre.
+    /// Gossips a random part of the members reachable from here, and the changes of services, to one other
+    /// balancer, chosen at random and most often from the same data centre.
     ///
     /// Gossip spreads members that started while the platform is unreachable, and shows which members
     /// still run. The recipient is drawn from all balancers, not from the neighbours, which seldom change:
@@ -191,6 +222,9 @@
         if let (Some(peer), Some(part)) = (recipient, part) {
             actions.push(stream::StreamAction::Send(peer, part));
         }
+        if let Some(peer) = recipient.filter(|_| !self.service_history.is_empty()) {
+            actions.push(stream::StreamAction::Send(peer, self.former_services(now)));
+        }
     }
 
     /// Inserts a balancer that is announced, mentioned or named in the settings, if it is not known.
--- a/crates/core/src/stream/balancer/openings.rs
+++ b/crates/core/src/stream/balancer/openings.rs
@@ -33,13 +33,14 @@
             // Queued at a second agent too, it could take a slot at both.
             owners::RepeatTarget::Waiting(agent) if self.table.is_fresh(agent, now) => {
                 let kind = message::CarryKind::OpenQueued;
-                self.forward_segment(agent, kind, segment.bytes, actions, key);
+                self.send_carry(agent, kind, service, segment.bytes, actions);
             }
             // The answer to an earlier copy may have been lost.
             owners::RepeatTarget::Holder(agent) | owners::RepeatTarget::Last(agent)
                 if self.table.is_fresh(agent, now) =>
             {
-                self.forward_segment(agent, message::CarryKind::Open, segment.bytes, actions, key);
+                let kind = message::CarryKind::Open;
+                self.send_carry(agent, kind, service, segment.bytes, actions);
             }
             _ => self.place(key, service, segment.bytes, now, actions),
         }
@@ -106,7 +107,7 @@
             report_age_ms: choice.report_age_ms,
             generation: self.state.generation().0,
         }));
-        self.forward_segment(choice.address, kind, bytes, actions, key);
+        self.send_carry(choice.address, kind, service, bytes, actions);
     }
 
     /// Buffers an opening until an agent is known, or gives it up once it has waited too long.
@@ -177,9 +178,7 @@
             }
             _ => {}
         }
-        if returned.generation > self.state.generation() {
-            actions.push(stream::StreamAction::FetchConfig(from));
-        }
+        self.fetch_newer_config(from, returned.generation, actions);
         let service = self.service_at(key);
         match service {
             Some(service) if head.is_opening() => {
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -7,6 +7,7 @@
 use crate::stream::agent_table::liveness;
 use crate::stream::balancer;
 use crate::stream::balancer::member_list;
+use crate::stream::balancer::service_history;
 use crate::stream::log_event;
 use crate::stream::lookup;
 use crate::stream::message;
@@ -14,6 +15,28 @@
 use crate::stream::segment;
 use crate::stream::sent;
 
+/// Why agents that a search did not query may hold its stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SearchGap {
+    /// Members may be unknown.
+    Members(member_list::MemberListGap),
+    /// Members were unknown when the agents were queried.
+    MembersAdded,
+    /// The entry may have had another service.
+    ServiceChanged,
+}
+
+impl SearchGap {
+    /// The name of the gap in logs.
+    fn label(self) -> &'static str {
+        match self {
+            SearchGap::Members(gap) => gap.label(),
+            SearchGap::MembersAdded => "members_added",
+            SearchGap::ServiceChanged => "service_changed",
+        }
+    }
+}
+
 impl balancer::StreamBalancer {
     /// Handles a segment from a caller.
     pub(super) fn on_segment(
@@ -51,27 +74,36 @@
             // The agent got the opening, never confirmed the stream and no longer reports: a copy through
             // another balancer may have opened the stream elsewhere.
             Some((agent, _, false)) if !self.table.is_fresh(agent, now) => {
-                self.search(key, service, segment, now, actions);
+                self.search(key, segment, now, actions);
             }
             Some((agent, ..)) => {
-                self.forward_segment(agent, message::CarryKind::Held, segment.bytes, actions, key);
+                self.forward_segment(agent, message::CarryKind::Held, segment.bytes, actions);
             }
-            None => self.search(key, service, segment, now, actions),
+            None => self.search(key, segment, now, actions),
         }
     }
 
-    /// Forwards a segment to an agent.
+    /// Forwards a segment of an open stream to an agent, whatever service its entry belongs to by now.
     pub(super) fn forward_segment(
         &self,
         agent: net::SocketAddrV4,
         kind: message::CarryKind,
         bytes: &[u8],
         actions: &mut Vec<stream::StreamAction>,
-        key: segment::StreamKey,
     ) {
-        // A stream whose address was removed from the configuration stays with its agent.
-        let known_service = || self.table.get(agent)?.service;
-        let service = self.service_at(key).or_else(known_service).unwrap_or_default();
+        let service = self.table.get(agent).and_then(|known| known.service).unwrap_or_default();
+        self.send_carry(agent, kind, service, bytes, actions);
+    }
+
+    /// Sends a segment to an agent of this service.
+    pub(super) fn send_carry(
+        &self,
+        agent: net::SocketAddrV4,
+        kind: message::CarryKind,
+        service: ids::ServiceId,
+        bytes: &[u8],
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
         let carry = message::CarryMessage {
             kind,
             service,
@@ -86,15 +118,15 @@
     pub(super) fn search(
         &mut self,
         key: segment::StreamKey,
-        service: Option<ids::ServiceId>,
         segment: &segment::StreamSegment<'_>,
         now: ids::UnixMillis,
         actions: &mut Vec<stream::StreamAction>,
     ) {
+        let services = self.services_of(key, now);
         let knows_all_members = self.member_list.gap(now).is_none();
         let holders = liveness::PossibleHolders {
             knows_all_members,
-            ..self.table.holders(service, &self.lost_centres, now)
+            ..self.table.holders(&services, &self.lost_centres, now)
         };
         let outcome = self.searches.enqueue(key, &holders, segment, now);
         let lookup::EnqueueOutcome::Ask { ask, candidates } = outcome else { return };
@@ -110,7 +142,7 @@
             actions.push(stream::StreamAction::Send(agent, find));
         }
         for agent in candidates {
-            self.forward_segment(agent, message::CarryKind::Probe, segment.bytes, actions, key);
+            self.forward_segment(agent, message::CarryKind::Probe, segment.bytes, actions);
         }
         if !is_anyone_asked {
             let width = self.config.policy.recovery.search_width;
@@ -159,7 +191,7 @@
             lookup::SearchStep::Probe(agents, segment) => {
                 for agent in agents {
                     let kind = message::CarryKind::Probe;
-                    self.forward_segment(agent, kind, &segment, actions, key);
+                    self.forward_segment(agent, kind, &segment, actions);
                 }
             }
             lookup::SearchStep::Concluded(search) => {
@@ -169,6 +201,39 @@
         }
     }
 
+    /// The services whose agents may hold a stream.
+    fn services_of(
+        &self,
+        key: segment::StreamKey,
+        now: ids::UnixMillis,
+    ) -> service_history::ServiceScope {
+        match self.has_newest_config() {
+            true => self.service_history.scope(key.entry, self.service_at(key), now),
+            false => service_history::ServiceScope::Any,
+        }
+    }
+
+    /// Why agents that were not queried may hold a stream; `None` if none of them can.
+    fn search_gap(
+        &self,
+        key: segment::StreamKey,
+        coverage: lookup::SearchCoverage,
+        now: ids::UnixMillis,
+    ) -> Option<SearchGap> {
+        let asked = coverage.asked;
+        let is_settled = || {
+            self.service_history.is_settled_since(key.entry, asked, now) && self.has_newest_config()
+        };
+        match self.member_list.gap(now) {
+            Some(gap) => Some(SearchGap::Members(gap)),
+            None if !self.member_list.is_complete_since(asked, now) => {
+                Some(SearchGap::MembersAdded)
+            }
+            None if coverage.is_any_service || is_settled() => None,
+            None => Some(SearchGap::ServiceChanged),
+        }
+    }
+
     fn log_not_found(
         &self,
         key: segment::StreamKey,
@@ -180,7 +245,7 @@
             stream: key,
             asked: search.denials() + search.missing_answers() + search.candidates().len(),
             denied: search.denials(),
-            members_gap: self.member_list.gap(now).map(member_list::MemberListGap::label),
+            gap: self.search_gap(key, search.coverage, now).map(SearchGap::label),
         }));
     }
 
@@ -209,20 +274,19 @@
         let (is_ended, search) = (owner.is_ended, owner.search);
         match (target, search) {
             (Some(agent), _) => {
-                self.forward_segment(agent, message::CarryKind::Held, segment.bytes, actions, key);
+                self.forward_segment(agent, message::CarryKind::Held, segment.bytes, actions);
             }
             // The caller has ended the stream, so its last segments are not needed.
             (None, _) if is_ended => self.owners.remove(key),
-            (None, owners::SearchState::Complete { asked })
-                if self.member_list.is_complete_since(asked, now) =>
+            (None, owners::SearchState::Complete(coverage))
+                if self.search_gap(key, coverage, now).is_none() =>
             {
                 let expected = segment.head.acknowledged;
                 self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions);
             }
             (None, _) => {
                 self.owners.remove(key);
-                let service = self.service_at(key);
-                self.search(key, service, segment, now, actions);
+                self.search(key, segment, now, actions);
             }
         }
     }
@@ -253,7 +317,7 @@
                 agent: from,
             }));
             for segment in search.segments_for(from) {
-                self.forward_segment(from, message::CarryKind::Held, segment, actions, key);
+                self.forward_segment(from, message::CarryKind::Held, segment, actions);
             }
         }
     }
@@ -261,8 +325,8 @@
     /// Ends a search that all agents, or all but the candidates, have denied: keeps the candidates as
     /// possible holders, or resets the stream if there are none.
     ///
-    /// The reset lets the caller retry before its deadline. If members may have been missing since the
-    /// agents were queried, the caller's next segment starts another search instead.
+    /// The reset lets the caller retry before its deadline. If agents that were not queried may hold the
+    /// stream, the caller's next segment starts another search instead.
     fn conclude_search(
         &mut self,
         key: segment::StreamKey,
@@ -272,20 +336,20 @@
     ) {
         let Some((agent, candidates)) = search.candidates().split_last() else {
             let expected = search.caller_expects;
-            match self.member_list.is_complete_since(search.asked, now) {
-                true => self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions),
-                false => self.log_not_found(key, search, now, actions),
+            match self.search_gap(key, search.coverage, now) {
+                None => self.reset(key, expected, log_event::ResetReason::HeldNowhere, actions),
+                Some(_) => self.log_not_found(key, search, now, actions),
             }
             return;
         };
         let owner = owners::StreamOwner {
             candidates: candidates.to_vec(),
-            search: owners::SearchState::Complete { asked: search.asked },
+            search: owners::SearchState::Complete(search.coverage),
             ..owners::StreamOwner::held_by(*agent, now)
         };
         self.owners.insert(key, owner);
         for segment in search.segments_for(*agent) {
-            self.forward_segment(*agent, message::CarryKind::Probe, segment, actions, key);
+            self.forward_segment(*agent, message::CarryKind::Probe, segment, actions);
         }
     }
 }
--- a/crates/core/src/stream/log_event.rs
+++ b/crates/core/src/stream/log_event.rs
@@ -117,9 +117,9 @@
         asked: usize,
         /// How many agents denied that their backend server holds it.
         denied: usize,
-        /// Why members may be unknown to the balancer; `None` if all are known.
+        /// Why agents that were not queried may hold it; `None` if none of them can.
         #[serde(skip_serializing_if = "Option::is_none")]
-        members_gap: Option<&'static str>,
+        gap: Option<&'static str>,
     },
     /// The backend server opened a stream.
     Accepted {
--- a/crates/core/src/stream/lookup.rs
+++ b/crates/core/src/stream/lookup.rs
@@ -54,6 +54,15 @@
     Suspended,
 }
 
+/// Which agents a search queried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SearchCoverage {
+    /// When they were last queried.
+    pub asked: ids::UnixMillis,
+    /// Whether agents of every service were queried.
+    pub is_any_service: bool,
+}
+
 /// A search for the owner of one stream.
 ///
 /// Agents that have denied the stream are neither queried nor probed again, however often the caller
@@ -61,8 +70,8 @@
 #[derive(Clone, Debug)]
 pub struct OwnerSearch {
     phase: SearchPhase,
-    /// When agents were last queried.
-    pub asked: ids::UnixMillis,
+    /// Which agents were last queried.
+    pub coverage: SearchCoverage,
     /// When the current phase began, or the caller's last segment arrived at a suspended search.
     began: ids::UnixMillis,
     /// How many other agents were not queried because they are presumed to hold no stream.
@@ -89,7 +98,7 @@
     fn new(caller_expects: u32, now: ids::UnixMillis) -> OwnerSearch {
         OwnerSearch {
             phase: SearchPhase::Asking,
-            asked: now,
+            coverage: SearchCoverage { asked: now, is_any_service: false },
             began: now,
             presumed_gone: 0,
             knows_all_members: false,
@@ -117,7 +126,7 @@
         now: ids::UnixMillis,
     ) -> Vec<net::SocketAddrV4> {
         self.phase = SearchPhase::Asking;
-        self.asked = now;
+        self.coverage = SearchCoverage { asked: now, is_any_service: holders.are_of_any_service };
         self.began = now;
         self.waiting.clear();
         self.presumed_gone = holders.presumed_gone;
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -1,5 +1,7 @@
 //! Messages between balancers and agents, one per datagram.
 
+use std::net;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -66,7 +68,8 @@
 pub struct CarryMessage {
     /// How to handle it.
     pub kind: CarryKind,
-    /// The service of the segment in the balancer's configuration.
+    /// The service that an opening is for in the balancer's configuration. With any other segment, the
+    /// service that the balancer knows the agent by: a stream stays where it has opened.
     pub service: ids::ServiceId,
     /// The generation of that configuration.
     pub generation: ids::ConfigGeneration,
@@ -132,6 +135,30 @@
     pub wants_reports: bool,
 }
 
+/// The entries whose service has changed while streams from before the change may be open.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FormerServices {
+    /// The generation of the sender's configuration; zero if it has none.
+    pub generation: ids::ConfigGeneration,
+    /// For how long the sender has known of every change, in milliseconds.
+    pub known_ms: u32,
+    /// The changes.
+    pub changes: Vec<ServiceChange>,
+}
+
+/// An entry that a configuration has moved to another service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceChange {
+    /// The entry.
+    pub entry: net::SocketAddrV4,
+    /// The service that its streams opened at before.
+    pub former: ids::ServiceId,
+    /// The generation of that configuration.
+    pub generation: ids::ConfigGeneration,
+    /// The time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Some or all of the members that a balancer receives reports from.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReachableMembers {
@@ -145,6 +172,9 @@
 /// The maximum number of members in one message, so that it fits in [`MAX_MESSAGE_BYTES`].
 pub const MAX_MEMBERS_PER_MESSAGE: usize = 128;
 
+/// The maximum number of changes of services that a balancer keeps, so that one message holds them all.
+pub const MAX_SERVICE_CHANGES: usize = 64;
+
 /// A message between a balancer and an agent, or between balancers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum StreamMessage {
@@ -182,6 +212,8 @@
     Balancer(BalancerReport),
     /// Members that a balancer receives reports from.
     Members(ReachableMembers),
+    /// Entries whose service has changed. Processes that do not know this message drop it.
+    FormerServices(FormerServices),
 }
 
 /// The kind of a message, for metrics.
@@ -207,11 +239,13 @@
     BalancerReport,
     /// Members that a balancer receives reports from.
     Members,
+    /// Entries whose service has changed.
+    FormerServices,
 }
 
 impl MessageKind {
     /// Every kind.
-    pub const ALL: [MessageKind; 10] = [
+    pub const ALL: [MessageKind; 11] = [
         MessageKind::Opening,
         MessageKind::Segment,
         MessageKind::Search,
@@ -222,6 +256,7 @@
         MessageKind::AgentReport,
         MessageKind::BalancerReport,
         MessageKind::Members,
+        MessageKind::FormerServices,
     ];
 
     /// The name of the kind in metrics.
@@ -237,6 +272,7 @@
             MessageKind::AgentReport => "agent_report",
             MessageKind::BalancerReport => "balancer_report",
             MessageKind::Members => "members",
+            MessageKind::FormerServices => "former_services",
         }
     }
 }
@@ -257,6 +293,7 @@
             StreamMessage::Agent(_) => MessageKind::AgentReport,
             StreamMessage::Balancer(_) => MessageKind::BalancerReport,
             StreamMessage::Members(_) => MessageKind::Members,
+            StreamMessage::FormerServices(_) => MessageKind::FormerServices,
         }
     }
 }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -196,6 +196,8 @@
     pub host_report_ms: u64,
     /// The maximum lifetime of a stream, in seconds.
     pub stream_limit_s: u64,
+    /// Whether the whole fleet starts for the first time, with no stream open.
+    pub is_first_start: bool,
     /// The seed of the random number generator.
     pub seed: u64,
     /// Tunable parameters.
--- a/crates/core/src/stream/owners.rs
+++ b/crates/core/src/stream/owners.rs
@@ -7,6 +7,7 @@
 use std::net;
 
 use crate::ids;
+use crate::stream::lookup;
 use crate::stream::segment;
 use crate::stream::sent;
 
@@ -31,10 +32,7 @@
     #[default]
     NotSearched,
     /// Every agent except the candidates has denied the stream.
-    Complete {
-        /// When the agents were queried.
-        asked: ids::UnixMillis,
-    },
+    Complete(lookup::SearchCoverage),
 }
 
 /// The destination of a repeated opening.
--- a/crates/core/tests/agent_subscriptions.rs
+++ b/crates/core/tests/agent_subscriptions.rs
@@ -7,6 +7,7 @@
 use rosemaryusher_core::load;
 use rosemaryusher_core::stream;
 use rosemaryusher_core::stream::agent_table;
+use rosemaryusher_core::stream::balancer::service_history;
 use rosemaryusher_core::stream::host;
 use rosemaryusher_core::stream::message;
 use rosemaryusher_core::stream::policy;
@@ -50,6 +51,7 @@
         slow_start: slow_start::SlowStartMargin::default(),
         host_report_ms: 1_000,
         stream_limit_s: 60,
+        is_first_start: true,
         seed: 1,
         policy: policy::StreamPolicy::default(),
     };
@@ -65,7 +67,11 @@
     table: &agent_table::AgentTable,
     now: ids::UnixMillis,
 ) -> collections::BTreeSet<net::SocketAddrV4> {
-    let holders = table.holders(Some(SERVICE), &collections::BTreeSet::new(), now);
+    let holders = table.holders(
+        &service_history::ServiceScope::Of(vec![SERVICE]),
+        &collections::BTreeSet::new(),
+        now,
+    );
     holders.agents.into_iter().collect()
 }
 
--- a/crates/core/tests/stream_fleet.rs
+++ b/crates/core/tests/stream_fleet.rs
@@ -8,6 +8,7 @@
 
 use rosemaryusher_core::ids;
 use rosemaryusher_core::stream;
+use rosemaryusher_core::stream::balancer::service_history;
 use rosemaryusher_core::stream::log_event;
 
 use stream_world as world;
@@ -99,8 +100,11 @@
         let known = balancer.agent_table().addresses().count();
         assert_eq!(known, 210);
         let service = ids::ServiceId::of_name("wallet");
-        let holders =
-            balancer.agent_table().holders(Some(service), &collections::BTreeSet::new(), world.now);
+        let holders = balancer.agent_table().holders(
+            &service_history::ServiceScope::Of(vec![service]),
+            &collections::BTreeSet::new(),
+            world.now,
+        );
         assert_eq!((holders.agents.len(), holders.presumed_gone), (210, 0));
     }
 }
--- a/crates/core/tests/stream_fuzz.rs
+++ b/crates/core/tests/stream_fuzz.rs
@@ -59,6 +59,7 @@
     StopAgent { nth: u8 },
     LoseReports { nth: u8, balancer: u8, millis: u64 },
     StartHostUnheard { nth: u8, balancer: u8, millis: u64 },
+    MoveEntries { to_preview: u16, to: u8 },
     Wait { millis: u64 },
 }
 
@@ -149,6 +150,39 @@
     ]
 }
 
+/// Callers that move between balancers while configurations move the entries between two services, agents
+/// and balancers restart, and some are cut off meanwhile.
+fn step_with_moves() -> impl Strategy<Value = Step> {
+    let (caller, entry, nth, balancer) = (0..6_u16, 0..2_u16, 1..=3_u8, 1..=2_u8);
+    let open = (caller.clone(), entry.clone(), 0..2_u32)
+        .prop_map(|(caller, entry, copy)| Step::Open { caller, entry, copy });
+    let send = (caller, entry).prop_map(|(caller, entry)| Step::Send { caller, entry });
+    let switch = balancer.clone().prop_map(|balancer| Step::SwitchBalancer { balancer });
+    let move_entries =
+        (0..4_u16, 0..5_u8).prop_map(|(to_preview, to)| Step::MoveEntries { to_preview, to });
+    let replace = (nth.clone(), any::<bool>())
+        .prop_map(|(nth, is_wallet)| Step::ReplaceHost { nth, is_wallet });
+    let crash = nth.clone().prop_map(|nth| Step::CrashHost { nth });
+    let restart_agent = nth.prop_map(|nth| Step::RestartAgent { nth });
+    let restart_balancer = balancer.prop_map(|nth| Step::RestartBalancer { nth });
+    let partition = (0..2_u8).prop_map(|process| Step::Partition { process });
+    let wait = prop_oneof![4 => 1..30_u64, 4 => 200..900_u64, 1 => 2_000..4_000_u64]
+        .prop_map(|millis| Step::Wait { millis });
+    prop_oneof![
+        8 => open,
+        8 => send,
+        4 => switch,
+        4 => move_entries,
+        1 => replace,
+        1 => crash,
+        1 => restart_agent,
+        1 => restart_balancer,
+        1 => partition,
+        1 => Just(Step::Heal),
+        8 => wait,
+    ]
+}
+
 struct FuzzRun {
     world: world::StreamWorld,
     generation: u64,
@@ -258,6 +292,15 @@
                 world.set_config(world::config(self.generation, &services));
                 world.deliver_config(process_address(to));
             }
+            Step::MoveEntries { to_preview, to } => {
+                self.generation += 1;
+                let is_preview = |entry: &u16| to_preview & (1 << entry) != 0;
+                let (preview, wallet): (Vec<u16>, Vec<u16>) = (0..2).partition(is_preview);
+                let preview = [preview, vec![PREVIEW]].concat();
+                let services = [("wallet", wallet.as_slice()), ("preview", preview.as_slice())];
+                world.set_config(world::config(self.generation, &services));
+                world.deliver_config(process_address(to));
+            }
             Step::RestoreStore { changes, rewrite_after_ms } => {
                 world.restore_store(changes, rewrite_after_ms)
             }
@@ -410,6 +453,12 @@
     run_cases(world::StreamWorld::new, SLOTS, step_with_lost_reports());
 }
 
+/// No open stream may be reset while configurations move its entry to another service and back.
+#[test]
+fn moves_hold() {
+    run_cases(world::StreamWorld::new, SLOTS, step_with_moves());
+}
+
 fn run_cases(start: fn() -> world::StreamWorld, slots: u32, step: impl Strategy<Value = Step>) {
     let cases = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
     let config = test_runner::Config {
--- a/crates/core/tests/stream_world/callers.rs
+++ b/crates/core/tests/stream_world/callers.rs
@@ -77,6 +77,24 @@
         self.handle(agent_address(nth_agent), event);
     }
 
+    /// Delivers a request on an open stream to an agent from the second balancer, labelled with a service.
+    pub(crate) fn send_labelled(&mut self, key: segment::StreamKey, nth_agent: u8, service: &str) {
+        let acknowledged = self.callers[&key].first.unwrap_or(0).wrapping_add(1);
+        let flags =
+            segment::SegmentFlags { acknowledges: true, ..segment::SegmentFlags::default() };
+        let head = caller_head(key, flags, acknowledged, 100);
+        let segment = self.record_segment(head, true);
+        let carry = message::StreamMessage::Carry(message::CarryMessage {
+            kind: message::CarryKind::Held,
+            service: ids::ServiceId::of_name(service),
+            generation: ids::ConfigGeneration(1),
+            segment,
+        });
+        let from = balancer_address(2);
+        let event = stream::StreamEvent::Message { from, message: &carry, head: Some(head) };
+        self.handle(agent_address(nth_agent), event);
+    }
+
     fn send_segment(
         &mut self,
         key: segment::StreamKey,
--- a/crates/core/tests/stream_world/mod.rs
+++ b/crates/core/tests/stream_world/mod.rs
@@ -36,6 +36,9 @@
 /// Duration of a machine probe, in milliseconds.
 const PROBE_MS: u64 = 100;
 
+/// When the fleet starts for the first time.
+const FIRST_START: ids::UnixMillis = ids::UnixMillis(1_000_000);
+
 /// Message port of every process.
 const PORT: u16 = 7_000;
 
@@ -159,7 +162,7 @@
 impl StreamWorld {
     pub(crate) fn new() -> StreamWorld {
         StreamWorld {
-            now: ids::UnixMillis(1_000_000),
+            now: FIRST_START,
             policy: policy::StreamPolicy::default(),
             far: collections::BTreeSet::new(),
             balancers: collections::BTreeMap::new(),
@@ -261,6 +264,7 @@
             service: ids::ServiceId::of_name(service),
             host_report_ms: HOST_REPORT_MS,
             stream_limit_s: 60,
+            is_first_start: self.now == FIRST_START,
             seed: self.last_id,
             policy: self.policy,
         }
--- a/crates/node/src/stream/daemon.rs
+++ b/crates/node/src/stream/daemon.rs
@@ -105,6 +105,7 @@
         service: service.unwrap_or_default(),
         host_report_ms: streams.report_period_ms,
         stream_limit_s: streams.stream_limit_s,
+        is_first_start: streams.first_start,
         seed: rand::rng().next_u64(),
         policy: streams.policy,
     };
--- a/crates/wire/tests/member_parts.rs
+++ b/crates/wire/tests/member_parts.rs
@@ -1,4 +1,4 @@
-//! Member lists that do not fit in one datagram.
+//! Member lists and changes of services that must fit in datagrams.
 
 use std::collections;
 use std::net;
@@ -33,6 +33,7 @@
         slow_start: slow_start::SlowStartMargin::default(),
         host_report_ms: 1_000,
         stream_limit_s: 60,
+        is_first_start: true,
         seed: 1,
         policy: policy::StreamPolicy::default(),
     };
@@ -91,3 +92,21 @@
     }
     assert_eq!(received.len(), 1 + AGENTS as usize);
 }
+
+/// As many changes of services as a balancer keeps do not fit in one datagram, and are lost.
+#[test]
+fn service_changes_fit() {
+    let change = |nth| message::ServiceChange {
+        entry: address(nth),
+        former: ids::ServiceId(u32::MAX),
+        generation: ids::ConfigGeneration(u64::MAX),
+        age_ms: u32::MAX,
+    };
+    let former = message::FormerServices {
+        generation: ids::ConfigGeneration(u64::MAX),
+        known_ms: u32::MAX,
+        changes: (0..message::MAX_SERVICE_CHANGES as u32).map(change).collect(),
+    };
+    let bytes = packet::encode(&message::StreamMessage::FormerServices(former)).expect("a message");
+    assert!(bytes.len() <= message::MAX_MESSAGE_BYTES, "{} bytes", bytes.len());
+}
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -110,7 +110,7 @@
 stream-searched-reset	crates/core/src/stream/host_streams.rs	s/if is_open && stream\.is_known\(\) \{/if is_open {/	-p rosemaryusher-core --test host_stopped probed_while_stopping
 stream-dead-end	crates/core/src/stream/agent/admission.rs	s/false if self\.phase\(now\) == host::HostPhase::Gone => \{/false if false => {/	-p rosemaryusher-core --test host_stopped retransmission_elsewhere
 stream-held-denied	crates/core/src/stream/agent/host_events.rs	s/is_some_and\(\|stream\| stream\.is_only_probed\)/is_some_and(|stream| !stream.is_opened_by_this_agent)/	-p rosemaryusher-core --test stream_search opening_lost
-stream-list-after-search	crates/core/src/stream/lookup.rs crates/core/src/stream/balancer/routing.rs	s/self\.knows_all_members && self\.unanswered/self.unanswered/;s/match self\.member_list\.is_complete_since\(search\.asked, now\)/match true/	-p rosemaryusher-core --test stream_search list_arrives_during_search
+stream-list-after-search	crates/core/src/stream/lookup.rs crates/core/src/stream/balancer/routing.rs	s/self\.knows_all_members && self\.unanswered/self.unanswered/;s/match self\.search_gap\(key, search\.coverage, now\)/match None::<SearchGap>/	-p rosemaryusher-core --test stream_search list_arrives_during_search
 stream-oldest-first	crates/core/src/stream/waiting.rs	s/else \{ sent \};/else { u64::MAX - sent };/;s/\(self\.is_in_time\(work_ms, now\), /(true, /	-p rosemaryusher-core --test admission_queue fresh_first
 stream-hopeless-kept	crates/core/src/stream/waiting.rs	s/\|opening\| !opening\.is_viable\(work_ms, now\)/|_| false/	-p rosemaryusher-core --test admission_queue hopeless_refused
 stream-copy-placed-twice	crates/core/src/stream/owners.rs	s/if self\.queued\.last\(\) == Some\(last\)/if self.queued.last() == Some(last) \&\& false/	-p rosemaryusher-core --test admission_queue copy_waits
@@ -169,6 +169,13 @@
 list-kept-cut-off	crates/core/src/stream/balancer/member_list.rs	s/const MAX_SILENCE_MS: u64 = 900/const MAX_SILENCE_MS: u64 = 90_000/	-p rosemaryusher-core --test member_list agent_added_while_cut_off
 list-completed-after-query	crates/core/src/stream/balancer/member_list.rs	s/\|complete\| complete <= since/|_| true/	-p rosemaryusher-core --test member_list gaps
 no-gossip-while-leaving	crates/core/src/stream/balancer/neighbours.rs	s/let seen = \|\| self\.peers\.iter\(\)\.filter\(\|\(_, peer\)\| peer\.is_recently_seen\(now\)\);/let seen = || self.peers.iter().filter(|(_, peer)| peer.is_recently_seen(now) \&\& !peer.is_leaving);/	-p rosemaryusher-core --test member_list gossip_while_leaving
+former-service-not-asked	crates/core/src/stream/balancer/service_history.rs	s/\[service\]\.into_iter\(\)\.chain\(former\)\.collect\(\)/{ drop(former); vec![service] }/	-p rosemaryusher-core --test service_changed open_streams_kept
+young-history-trusted	crates/core/src/stream/balancer/service_history.rs	s/is_some_and\(\|since\| now\.since\(since\) >= self\.retention_ms\)/is_some_and(|since| since <= now)/	-p rosemaryusher-core --test service_changed all_balancers_started
+older-config-trusted	crates/core/src/stream/balancer/mod.rs	s/self\.newest_generation <= self\.state\.generation\(\)/true/	-p rosemaryusher-core --test service_changed older_configuration
+former-not-gossiped	crates/core/src/stream/balancer/neighbours.rs	s/recipient\.filter\(\|_\| !self\.service_history\.is_empty\(\)\)/recipient.filter(|_| false)/	-p rosemaryusher-core --test service_changed change_missed_briefly
+change-during-search	crates/core/src/stream/balancer/service_history.rs	s/change\.learned < since/change.learned >= since || true/	-p rosemaryusher-core --test service_changed history
+label-trusted	crates/core/src/stream/agent/admission.rs	s/carry\.service != self\.config\.service && self\.does_not_hold\(key, now\)/carry.service != self.config.service/	-p rosemaryusher-core --test service_changed other_label
+other-services-asked	crates/core/src/stream/balancer/service_history.rs	s/Some\(service\) if self\.is_complete\(now\) =>/Some(service) if false =>/	-p rosemaryusher-core --test service_changed other_services_not_asked
 TABLE
 }
 
