A request runs only where the caller accepted the backend server's answer

Copies of an opening were accepted by two backend servers; the first request ran at the one whose answer the caller had not accepted, and its copy at the other.

Cause: an agent tells by the number that the caller acknowledges whether its own backend server's answer was meant, but took every number up to 64 MB after its own initial number, so one half-open stream in 64 was mistaken.

Change: the agent counts what its backend server has sent on a stream, and takes a number more than 19,200 bytes (16 full segments, what may be in flight) ahead of that for another backend server's. It does so for streams that it has seen from their first opening on: all of a run whose first report it received, else those that opened 2 s or more after its own start. Others are told apart as before.

Why this works: everything that a backend server sends passes its agent, so a caller cannot expect more than it counted.

--- a/crates/core/src/stream/agent/admission.rs
+++ b/crates/core/src/stream/agent/admission.rs
@@ -283,7 +283,13 @@
         key: segment::StreamKey,
         caller_expects: u32,
     ) -> bool {
-        self.host_streams.get(key).is_some_and(|stream| !stream.matches(caller_expects))
+        // A later opening is no copy of one that an earlier run of the agent delivered.
+        let seen_from = match self.has_seen_all_openings {
+            true => ids::UnixMillis(0),
+            false => self.started.plus(host_streams::OPENING_MS),
+        };
+        let stream = self.host_streams.get(key);
+        stream.is_some_and(|stream| !stream.matches(caller_expects, seen_from))
     }
 
     /// The message that returns a segment to its balancer.
--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -204,7 +204,7 @@
             }
             (message::StreamMessage::Find { key, caller_expects }, _) => {
                 let message = match self.host_streams.get(*key) {
-                    Some(stream) if !stream.matches(*caller_expects) => {
+                    Some(_) if self.is_half_open_duplicate(*key, *caller_expects) => {
                         message::StreamMessage::Absent { key: *key, is_sure: true }
                     }
                     Some(stream) if self.host_streams.is_open(*key) => {
--- a/crates/core/src/stream/host_streams.rs
+++ b/crates/core/src/stream/host_streams.rs
@@ -31,7 +31,11 @@
 const ENDED_MS: u64 = 3_000;
 
 /// How long an unanswered opening is kept, in milliseconds; callers give up after 1.4 s.
-const OPENING_MS: u64 = 2_000;
+pub const OPENING_MS: u64 = 2_000;
+
+/// How far a caller may be ahead of what the agent has counted, in bytes: 16 full segments, which is what a
+/// backend server may have in flight.
+const MAX_IN_FLIGHT_BYTES: u32 = 16 * 1_200;
 
 /// The phase of a stream, which determines whether it counts as work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,6 +65,8 @@
     pub phase: WorkPhase,
     /// The backend server's initial sequence number, if the agent saw it.
     pub first_sequence: Option<u32>,
+    /// How many bytes the backend server has sent since the agent saw that number.
+    sent_bytes: u32,
     /// The sequence number that the caller expects next, which a reset must carry to be accepted.
     pub caller_expects: u32,
     /// The balancer that its last segment came through.
@@ -112,9 +118,18 @@
     }
 
     /// Whether a caller that expects `caller_expects` has accepted this backend server's answer.
-    pub fn matches(&self, caller_expects: u32) -> bool {
-        let is_near = |first| segment::is_within_stream(first, caller_expects);
-        self.first_sequence.is_none_or(is_near)
+    ///
+    /// A caller cannot expect more than the backend server has sent. That is known only of a stream that
+    /// this run of the agent has seen from its first opening on, as all since `seen_from`; otherwise any
+    /// number that a stream can reach counts.
+    pub fn matches(&self, caller_expects: u32, seen_from: ids::UnixMillis) -> bool {
+        let Some(first) = self.first_sequence else { return true };
+        let received = caller_expects.wrapping_sub(first.wrapping_add(1));
+        let is_seen_whole = self.is_opened_by_this_agent && self.opened >= seen_from;
+        match is_seen_whole {
+            true => received <= self.sent_bytes + MAX_IN_FLIGHT_BYTES,
+            false => segment::is_within_stream(first, caller_expects),
+        }
     }
 }
 
@@ -250,6 +265,8 @@
             stream.first_sequence = Some(head.sequence);
             stream.opening = Vec::new();
         }
+        let sent = stream.first_sequence.and_then(|first| segment::bytes_sent(first, head));
+        stream.sent_bytes = stream.sent_bytes.max(sent.unwrap_or_default());
         self.busy = change_phase(stream, next, self.busy, now);
         HostSegmentOutcome {
             confirms_stream,
@@ -371,6 +388,7 @@
     HostStream {
         phase: WorkPhase::Opening,
         first_sequence: None,
+        sent_bytes: 0,
         caller_expects: 0,
         balancer,
         opening: Vec::new(),
--- a/crates/core/src/stream/segment.rs
+++ b/crates/core/src/stream/segment.rs
@@ -99,8 +99,8 @@
 /// The maximum number of bytes that a backend server sends on one stream.
 ///
 /// A caller that expects a sequence number further ahead has accepted another backend server's
-/// answer. Initial numbers are random, so one stream in 64 is mistaken. A stream
-/// carries a few megabytes in a minute.
+/// answer. Initial numbers are random, so one stream in 64 is mistaken; an agent that has counted what
+/// its backend server sent knows better. A stream carries a few megabytes in a minute.
 const MAX_STREAM_BYTES: u32 = 1 << 26;
 
 /// Whether a caller that expects `expected` may have accepted the answer with the initial number
@@ -109,6 +109,14 @@
     expected.wrapping_sub(first.wrapping_add(1)) < MAX_STREAM_BYTES
 }
 
+/// How many bytes a backend server with the initial number `first` has sent by the end of a segment;
+/// `None` if the number of the segment does not belong to the stream.
+pub fn bytes_sent(first: u32, head: &SegmentHeader) -> Option<u32> {
+    let length = u32::from(head.length) + u32::from(head.flags.opens) + u32::from(head.flags.ends);
+    let end = head.sequence.wrapping_add(length);
+    is_within_stream(first, end).then(|| end.wrapping_sub(first.wrapping_add(1)))
+}
+
 /// A received segment.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamSegment<'a> {
--- a/crates/core/tests/stream_halves.rs
+++ b/crates/core/tests/stream_halves.rs
@@ -2,6 +2,8 @@
 
 mod stream_world;
 
+use rosemaryusher_core::stream::segment;
+
 use stream_world as world;
 
 /// Only the agent whose answer the caller accepted may claim a half-open stream when another
@@ -30,6 +32,64 @@
     }
 }
 
+/// A world in which backend server `second` holds a stream half open, with an initial number just before the
+/// one of `first`, whose answer the caller accepted. `None` if the copies of the opening went elsewhere.
+fn world_with_near_numbers(
+    first: u8,
+    second: u8,
+    are_agents_restarted: bool,
+) -> Option<(world::StreamWorld, segment::StreamKey)> {
+    // A backend server multiplies its run by this factor for its initial numbers.
+    let distance = |runs: u64| (runs as u32).wrapping_mul(0x9e37_79b9);
+    let runs = (1..).find(|runs| (1 << 16..1 << 19).contains(&distance(*runs)))?;
+    let mut world = world::StreamWorld::with_three_hosts();
+    world.host(first).run = 1_000 + runs;
+    world.host(second).run = 1_000;
+    if are_agents_restarted {
+        for nth in 1..=3 {
+            world.start_agent(nth, "wallet");
+        }
+        world.advance(3_000);
+    }
+    let key = world::key(1, 0);
+    for (running, balancer, copy) in [(first, 1, 0), (second, 2, 1)] {
+        for nth in 1..=3 {
+            world.host(nth).is_hung = nth != running;
+        }
+        world.entry_balancer = world::balancer_address(balancer);
+        world.open(key, copy);
+        world.advance(200);
+        for nth in 1..=3 {
+            world.host(nth).is_hung = false;
+        }
+        world.advance(1_500);
+    }
+    let are_both = world.holders(key) == [first.min(second), first.max(second)];
+    are_both.then_some((world, key))
+}
+
+/// The initial number of a half-open stream lies just before the one that the caller accepted, and its
+/// agent delivers the caller's request there. A copy of it reaches the right one, so it runs twice.
+#[test]
+fn near_initial_numbers() {
+    for are_agents_restarted in [false, true] {
+        let pairs = [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)];
+        let mut worlds = pairs.iter().filter_map(|(first, second)| {
+            let (world, key) = world_with_near_numbers(*first, *second, are_agents_restarted)?;
+            Some((world, key, *second))
+        });
+        let (mut world, key, second) = worlds.next().expect("a stream is half open elsewhere");
+        for balancer in [2, 1] {
+            world.entry_balancer = world::balancer_address(balancer);
+            world.send(key);
+            world.advance(10);
+            assert!(world.host(second).work.is_empty(), "a request runs where it was not accepted");
+            world.advance(300);
+        }
+        assert_eq!(world.view(key).answers, 2);
+    }
+}
+
 /// An agent restarts and no longer knows of a half-open stream whose answer the caller did not
 /// accept. The caller's segments must not be sent to its backend server permanently, which ignores
 /// them.
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -55,7 +55,7 @@
 stream-lookup-skipped	crates/core/src/stream/balancer/routing.rs	s/let holders = liveness::PossibleHolders \{.*?\};/let _ = knows_all_members; let holders = liveness::PossibleHolders::default();/s	-p rosemaryusher-core --test stream_moves balancer_replaced
 stream-reset-unsure	crates/core/src/stream/lookup.rs	s/let are_all_asked = self\.knows_all_members && self\.unanswered\.is_empty\(\);/let are_all_asked = true;/	-p rosemaryusher-core --test stream_moves agent_unreachable
 stream-agent-always-sure	crates/core/src/stream/agent/mod.rs	s/self\.has_seen_all_openings \|\| is_old/true || is_old/	-p rosemaryusher-core --test stream_moves agent_restarted
-stream-halves-not-told	crates/core/src/stream/host_streams.rs	s/self\.first_sequence\.is_none_or\(is_near\)/self.first_sequence.is_none_or(|first| is_near(first) || true)/	-p rosemaryusher-core --test stream_halves half_open_distinguished
+stream-halves-not-told	crates/core/src/stream/host_streams.rs	s/let Some\(first\) = self\.first_sequence else \{ return true \};/if caller_expects > 0 { return true; } let Some(first) = self.first_sequence else { return true };/	-p rosemaryusher-core --test stream_halves half_open_distinguished
 stream-hang-unnoticed	crates/core/src/stream/agent/mod.rs	s/self\.return_unanswered\(now, actions\);//	-p rosemaryusher-core --test stream_moves host_hangs
 stream-dead-run-silent	crates/core/src/stream/agent/host_events.rs	s/actions\.push\(stream::StreamAction::Reset\(\*key, stream\.caller_expects\)\);/let _ = (key, stream);/	-p rosemaryusher-core --test stream_moves host_crashed
 stream-early-opening-forgotten	crates/core/src/stream/host_streams.rs	s/stream\.opened <= limit/stream.opened <= limit || true/	-p rosemaryusher-core --test stream_moves early_opening
@@ -176,6 +176,8 @@
 change-during-search	crates/core/src/stream/balancer/service_history.rs	s/change\.learned < since/change.learned >= since || true/	-p rosemaryusher-core --test service_changed history
 label-trusted	crates/core/src/stream/agent/admission.rs	s/carry\.service != self\.config\.service && self\.does_not_hold\(key, now\)/carry.service != self.config.service/	-p rosemaryusher-core --test service_changed other_label
 other-services-asked	crates/core/src/stream/balancer/service_history.rs	s/Some\(service\) if self\.is_complete\(now\) =>/Some(service) if false =>/	-p rosemaryusher-core --test service_changed other_services_not_asked
+near-number-accepted	crates/core/src/stream/host_streams.rs	s/match is_seen_whole \{/match false \&\& is_seen_whole {/	-p rosemaryusher-core --test stream_halves near_initial_numbers
+near-number-after-restart	crates/core/src/stream/agent/admission.rs	s/self\.started\.plus\(host_streams::OPENING_MS\)/ids::UnixMillis(u64::MAX)/	-p rosemaryusher-core --test stream_halves near_initial_numbers
 TABLE
 }
 
