A run writes the announcement again that a former run has left

The store removes an announcement late, after the next run of the agent has found it and left it as it is. The agent stays unannounced, and a balancer that starts cut off from the others resets streams that are open at its backend server.

Cause: the removal holds if the revision is the one that the call names. The next run left a true announcement as it was, so the revision stayed.

Change: a run that finds an announcement of a former one writes it again with its own run in it, after it has read the list of members, and tries until it is written. Processes of the old build ignore the new field. It costs one write at a start after a crash, a loss of power or a planned restart of an agent whose backend server runs on.

--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -49,6 +49,7 @@
         let needs_list = status::is_set(&context.status.needs_member_list);
         if has_read && !needs_list && status::is_set(&context.status.reaches_balancer) {
             backoff::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
+            renew_announcement(&context).await;
             if may_lack_announcement(&context) {
                 backoff::sleep_ms(backoff::random_delay(platform::ANNOUNCE_SPREAD_MS)).await;
                 let result = announce_again(&context).await;
@@ -63,6 +64,7 @@
                 context.record_platform_result(Ok(())).await;
                 has_read = true;
                 context.send_input(read).await;
+                renew_announcement(&context).await;
                 backoff::sleep_ms(REDISCOVERY_INTERVAL_MS).await;
             }
             Err(error) => {
@@ -156,7 +158,10 @@
         let key = announcement_key(context);
         let existing = objects.iter().find(|object| object.key == key);
         match existing.filter(|object| is_own(context, object)) {
-            Some(object) => context.announced.set(Some(object.version)),
+            Some(object) => {
+                context.announced.set(Some(object.version));
+                context.has_former_announcement.set(true);
+            }
             None => {
                 announce(context, platform::WriteCondition::Always).await?;
                 objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
@@ -177,16 +182,39 @@
     packets::StreamInput::Members { members, epoch: announced.epoch }
 }
 
+/// Writes the announcement again if a former run of this process has left it.
+///
+/// The former run may have asked the store to remove it, and the store may do so seconds later if the
+/// announcement has not changed. Then processes that start would not find this one.
+async fn renew_announcement(context: &context::ControlContext) {
+    if !context.has_former_announcement.get() || context.has_withdrawn.get() {
+        return;
+    }
+    let result = announce(context, platform::WriteCondition::Always).await;
+    context.has_former_announcement.set(result.is_err());
+    context.record_platform_result(result).await;
+}
+
+/// The announcement of one run of a process.
+#[derive(serde::Serialize)]
+struct RunAnnouncement {
+    #[serde(flatten)]
+    member: stream::AnnouncedMember,
+    /// Differs in each run, so that the store assigns a new revision.
+    run: String,
+}
+
 /// Writes this process's announcement; an announcement that exists already is not an error.
 ///
 /// After a restart the previous announcement may still exist. It is then compared with the list of
-/// members, so a restart takes no more calls than a first start.
+/// members.
 async fn announce(
     context: &context::ControlContext,
     condition: platform::WriteCondition,
 ) -> Result<(), platform::StoreError> {
     let store = context.platform_client.borrow().store.clone();
-    let own = own_announcement(context);
+    let member = own_announcement(context);
+    let own = RunAnnouncement { member, run: context.run.to_string() };
     let value = serde_json::to_string(&own).map_err(|_| platform::StoreError::Unavailable)?;
     match store.put(&announcement_key(context), value, condition).await {
         Ok(version) => context.announced.set(Some(version)),
--- a/crates/node/src/stream/context.rs
+++ b/crates/node/src/stream/context.rs
@@ -44,7 +44,11 @@
     pub(crate) metrics: meters::MetricsRegistry,
     pub(crate) executor: rc::Rc<smol::LocalExecutor<'static>>,
     pub(crate) reaches_platform: cell::Cell<Option<bool>>,
+    /// This run of the process.
+    pub(crate) run: ids::InstanceId,
     pub(crate) announced: cell::Cell<Option<store_epoch::StoreRevision>>,
+    /// Whether the announcement is still the one that a former run wrote.
+    pub(crate) has_former_announcement: cell::Cell<bool>,
     /// The epoch of the store that was last sent to the packet thread.
     pub(crate) sent_epoch: cell::Cell<store_epoch::StoreEpoch>,
     pub(crate) is_leaving: cell::Cell<bool>,
