A balancer that has just started asks fewer agents of other services

Cause: since a balancer that cannot know earlier changes of services asks the agents of all services.

Change: an agent of another service is left out if its backend server has started since the balancer has a configuration: whatever opened there since then opened under a configuration that the balancer knows of. The start is taken from the agent's report, less 100 ms for its way.

--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -192,7 +192,8 @@
         now: ids::UnixMillis,
     ) -> exclusion::AgentEvidence {
         // An agent of unknown service may belong to one of these.
-        let is_other = known.service.is_some_and(|service| !services.contains(service));
+        let started = known.host_started;
+        let is_other = known.service.is_some_and(|service| !services.contains(service, started));
         exclusion::AgentEvidence {
             contact: self.contact(known, now),
             is_in_lost_centre: known.data_centre.is_some_and(|of| lost_centres.contains(&of)),
--- a/crates/core/src/stream/agent_table/mod.rs
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -28,6 +28,10 @@
 /// milliseconds.
 const REPLACEMENT_TIMEOUT_MS: u64 = 2_000;
 
+/// The longest time that a report takes to arrive, in milliseconds; the age of a backend server in it is
+/// that much too low. Above the delay between data centres and of a receiver that is busy.
+const MAX_REPORT_DELAY_MS: u64 = 100;
+
 /// One agent, as this balancer knows it.
 #[derive(Clone, Debug)]
 pub struct KnownAgent {
@@ -36,6 +40,8 @@
     pub report: Option<message::AgentReport>,
     /// The service of its backend server, once announced, reported or mentioned.
     pub service: Option<ids::ServiceId>,
+    /// A time at which its backend server had not started yet, if this run of the agent has seen the start.
+    host_started: Option<ids::UnixMillis>,
     /// Whether it has been announced or mentioned with another service since its last report: its
     /// address may be reused.
     is_service_disputed: bool,
@@ -117,6 +123,7 @@
         report: &message::AgentReport,
         now: ids::UnixMillis,
     ) -> bool {
+        let started = host_started(report, now);
         let last_draw = &mut self.last_draw;
         let known = self.agents.entry(from).or_insert_with(|| {
             *last_draw = None;
@@ -128,10 +135,9 @@
         if is_outdated {
             return false;
         }
-        let is_same = known
-            .report
-            .as_ref()
-            .is_some_and(|held| held.agent == report.agent && held.phase == report.phase);
+        let is_same_run = known.report.as_ref().is_some_and(|held| held.agent == report.agent);
+        let is_same =
+            is_same_run && known.report.as_ref().is_some_and(|held| held.phase == report.phase);
         let has_changed = known.is_subscribed() && (!is_same || !known.is_reachable);
         if known.service != Some(report.service) || known.data_centre != Some(report.data_centre) {
             self.last_draw = None;
@@ -140,6 +146,7 @@
             report: Some(report.clone()),
             service: Some(report.service),
             data_centre: Some(report.data_centre),
+            host_started: started.or(known.host_started.filter(|_| is_same_run)),
             is_reachable: true,
             subscribed: known.subscribed,
             last_request: known.last_request,
@@ -261,10 +268,17 @@
     }
 }
 
+/// A time at which the backend server of a reporting agent had not started yet.
+fn host_started(report: &message::AgentReport, now: ids::UnixMillis) -> Option<ids::UnixMillis> {
+    let age_ms = u64::from(report.host_age_ms?) + MAX_REPORT_DELAY_MS;
+    Some(ids::UnixMillis(now.0.saturating_sub(age_ms)))
+}
+
 fn unreported(now: ids::UnixMillis) -> KnownAgent {
     KnownAgent {
         report: None,
         service: None,
+        host_started: None,
         is_service_disputed: false,
         data_centre: None,
         subscribed: None,
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -221,9 +221,8 @@
         now: ids::UnixMillis,
     ) -> Option<SearchGap> {
         let asked = coverage.asked;
-        let is_settled = || {
-            self.service_history.is_settled_since(key.entry, asked, now) && self.has_newest_config()
-        };
+        let is_settled =
+            || self.service_history.is_settled_since(key.entry, asked) && self.has_newest_config();
         match self.member_list.gap(now) {
             Some(gap) => Some(SearchGap::Members(gap)),
             None if !self.member_list.is_complete_since(asked, now) => {
