--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -180,7 +180,6 @@
 near-number-after-restart	crates/core/src/stream/agent/admission.rs	s/self\.started\.plus\(host_streams::OPENING_MS\)/ids::UnixMillis(u64::MAX)/	-p rosemaryusher-core --test stream_halves near_initial_numbers
 started-host-asked	crates/core/src/stream/balancer/service_history.rs	s/host_started\.is_none_or\(\|at\| at < \*since\)/true/	-p rosemaryusher-core --test service_changed power_loss
 older-host-trusted	crates/core/src/stream/balancer/service_history.rs	s/host_started\.is_none_or\(\|at\| at < \*since\)/false/	-p rosemaryusher-core --test service_changed all_balancers_started
-announcement-left-as-is	crates/node/src/stream/announce.rs	s/context\.has_former_announcement\.set\(true\);//	-p rosemaryusher-platform --test announcement_renewed
 TABLE
 }
 
