A balancer asks each agent of another service once for streams of former services

Cause: after a loss of power of all machines no balancer knows which entries have moved, every dead stream is searched for, and since each search asked the agents of all services.

Change: the rule of the start is replaced by an answer of the agent. A search that has to ask other services asks their agents once, at most every 200 ms, whether they hold any stream of an entry that their configuration names for another service. An agent that knows all of its streams, holds none of these and has the balancer's configuration denies it, and is left out of further searches while that configuration is in force: it returns such openings, so it gets none later. Others are asked for each stream as before, as are agents of older builds, which drop the question.

Tests: service_changed::power_loss (eight dead streams: one query to the agent of the other service), all_balancers_started (agents that hold such streams do not deny); three mutants, noticed. moves_hold holds in 6,000 cases.

--- a/crates/core/src/stream/agent/mod.rs
+++ b/crates/core/src/stream/agent/mod.rs
@@ -221,6 +221,10 @@
                 };
                 actions.push(stream::StreamAction::Send(from, message));
             }
+            (message::StreamMessage::FindFormer, _) if self.holds_no_former_stream(now) => {
+                let message = message::StreamMessage::NoFormer(self.state.generation());
+                actions.push(stream::StreamAction::Send(from, message));
+            }
             (message::StreamMessage::Balancer(report), _) => {
                 self.on_balancer_report(from, report, now, actions);
             }
@@ -339,6 +343,17 @@
         self.state.service(self.config.service).map_or(u32::MAX, |spec| spec.host_connections)
     }
 
+    /// Whether the backend server surely holds no stream of an entry that the configuration names for another
+    /// service, or for none. It gets none later, since the agent returns such openings.
+    fn holds_no_former_stream(&self, now: ids::UnixMillis) -> bool {
+        let is_own = |entry| {
+            let entry = self.state.entry_at(net::SocketAddr::V4(entry));
+            entry.is_some_and(|entry| entry.service == self.config.service)
+        };
+        let has_config = self.state.generation() > ids::ConfigGeneration(0);
+        has_config && self.knows_all_streams(now) && self.host_streams.entries().all(is_own)
+    }
+
     /// Whether the agent knows every stream that its backend server may hold, and so can deny
     /// others. One that has stopped holds none.
     fn knows_all_streams(&self, now: ids::UnixMillis) -> bool {
--- a/crates/core/src/stream/agent_table/liveness.rs
+++ b/crates/core/src/stream/agent_table/liveness.rs
@@ -184,6 +184,20 @@
         holders
     }
 
+    /// The agents of other services that may hold a stream because they have not denied to hold any of former
+    /// services.
+    pub fn undenied<'a>(
+        &'a self,
+        services: &'a service_history::ServiceScope,
+    ) -> impl Iterator<Item = net::SocketAddrV4> + 'a {
+        let is_undenied = |known: &agent_table::KnownAgent| {
+            known
+                .service
+                .is_some_and(|service| services.awaits_denial(service, known.denied_former))
+        };
+        self.agents.iter().filter(move |(_, known)| is_undenied(known)).map(|(address, _)| *address)
+    }
+
     fn evidence(
         &self,
         known: &agent_table::KnownAgent,
@@ -192,8 +206,8 @@
         now: ids::UnixMillis,
     ) -> exclusion::AgentEvidence {
         // An agent of unknown service may belong to one of these.
-        let started = known.host_started;
-        let is_other = known.service.is_some_and(|service| !services.contains(service, started));
+        let denied = known.denied_former;
+        let is_other = known.service.is_some_and(|service| !services.contains(service, denied));
         exclusion::AgentEvidence {
             contact: self.contact(known, now),
             is_in_lost_centre: known.data_centre.is_some_and(|of| lost_centres.contains(&of)),
--- a/crates/core/src/stream/agent_table/mod.rs
+++ b/crates/core/src/stream/agent_table/mod.rs
@@ -28,10 +28,6 @@
 /// milliseconds.
 const REPLACEMENT_TIMEOUT_MS: u64 = 2_000;
 
-/// The longest time that a report takes to arrive, in milliseconds; the age of a backend server in it is
-/// that much too low. Above the delay between data centres and of a receiver that is busy.
-const MAX_REPORT_DELAY_MS: u64 = 100;
-
 /// One agent, as this balancer knows it.
 #[derive(Clone, Debug)]
 pub struct KnownAgent {
@@ -40,8 +36,8 @@
     pub report: Option<message::AgentReport>,
     /// The service of its backend server, once announced, reported or mentioned.
     pub service: Option<ids::ServiceId>,
-    /// A time at which its backend server had not started yet, if this run of the agent has seen the start.
-    host_started: Option<ids::UnixMillis>,
+    /// The generation of the configuration under which this run has denied to hold streams of former services.
+    denied_former: Option<ids::ConfigGeneration>,
     /// Whether it has been announced or mentioned with another service since its last report: its
     /// address may be reused.
     is_service_disputed: bool,
@@ -123,7 +119,6 @@
         report: &message::AgentReport,
         now: ids::UnixMillis,
     ) -> bool {
-        let started = host_started(report, now);
         let last_draw = &mut self.last_draw;
         let known = self.agents.entry(from).or_insert_with(|| {
             *last_draw = None;
@@ -136,6 +131,7 @@
             return false;
         }
         let is_same_run = known.report.as_ref().is_some_and(|held| held.agent == report.agent);
+        let is_first = known.report.is_none();
         let is_same =
             is_same_run && known.report.as_ref().is_some_and(|held| held.phase == report.phase);
         let has_changed = known.is_subscribed() && (!is_same || !known.is_reachable);
@@ -146,7 +142,7 @@
             report: Some(report.clone()),
             service: Some(report.service),
             data_centre: Some(report.data_centre),
-            host_started: started.or(known.host_started.filter(|_| is_same_run)),
+            denied_former: known.denied_former.filter(|_| is_same_run || is_first),
             is_reachable: true,
             subscribed: known.subscribed,
             last_request: known.last_request,
@@ -208,6 +204,17 @@
         }
     }
 
+    /// Records that an agent with this configuration denies to hold streams of former services.
+    pub fn on_former_denied(
+        &mut self,
+        agent: net::SocketAddrV4,
+        generation: ids::ConfigGeneration,
+    ) {
+        if let Some(known) = self.agents.get_mut(&agent) {
+            known.denied_former = known.denied_former.max(Some(generation));
+        }
+    }
+
     /// Records that another balancer mentioned an agent as reachable.
     pub fn on_mention(&mut self, agent: net::SocketAddrV4, now: ids::UnixMillis) {
         if let Some(known) = self.agents.get_mut(&agent) {
@@ -268,17 +275,11 @@
     }
 }
 
-/// A time at which the backend server of a reporting agent had not started yet.
-fn host_started(report: &message::AgentReport, now: ids::UnixMillis) -> Option<ids::UnixMillis> {
-    let age_ms = u64::from(report.host_age_ms?) + MAX_REPORT_DELAY_MS;
-    Some(ids::UnixMillis(now.0.saturating_sub(age_ms)))
-}
-
 fn unreported(now: ids::UnixMillis) -> KnownAgent {
     KnownAgent {
         report: None,
         service: None,
-        host_started: None,
+        denied_former: None,
         is_service_disputed: false,
         data_centre: None,
         subscribed: None,
--- a/crates/core/src/stream/balancer/mod.rs
+++ b/crates/core/src/stream/balancer/mod.rs
@@ -95,6 +95,8 @@
     /// The newest generation that any process has reported.
     newest_generation: ids::ConfigGeneration,
     service_history: service_history::ServiceHistory,
+    /// When agents were last asked for streams of former services.
+    last_former_query: ids::UnixMillis,
     table: agent_table::AgentTable,
     evacuations: evacuation::KnownEvacuations,
     /// The latest known epoch of the platform's store.
@@ -129,6 +131,7 @@
                 config.stream_limit_s,
                 config.is_first_start,
             ),
+            last_former_query: ids::UnixMillis(0),
             table: agent_table::AgentTable::new(&config, now),
             evacuations: evacuation::KnownEvacuations::default(),
             store_epoch: store_epoch::StoreEpoch::default(),
@@ -233,6 +236,10 @@
             (message::StreamMessage::FormerServices(former), _) => {
                 self.on_former_services(from, former, now, actions);
             }
+            (message::StreamMessage::NoFormer(generation), _) => {
+                self.fetch_newer_config(from, *generation, actions);
+                self.table.on_former_denied(from, *generation);
+            }
             _ => {}
         }
     }
--- a/crates/core/src/stream/balancer/routing.rs
+++ b/crates/core/src/stream/balancer/routing.rs
@@ -15,6 +15,10 @@
 use crate::stream::segment;
 use crate::stream::sent;
 
+/// Interval between queries for streams of former services, in milliseconds: agents that start after a power
+/// loss are asked soon, and those that cannot deny them not for each stream.
+const FORMER_QUERY_INTERVAL_MS: u64 = 200;
+
 /// Why agents that a search did not query may hold its stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SearchGap {
@@ -123,6 +127,7 @@
         actions: &mut Vec<stream::StreamAction>,
     ) {
         let services = self.services_of(key, now);
+        self.ask_for_former(&services, now, actions);
         let knows_all_members = self.member_list.gap(now).is_none();
         let holders = liveness::PossibleHolders {
             knows_all_members,
@@ -151,6 +156,25 @@
         }
     }
 
+    /// Asks the agents that a search queries only because they may hold streams of former services whether
+    /// they hold any, so that further searches need not.
+    fn ask_for_former(
+        &mut self,
+        services: &service_history::ServiceScope,
+        now: ids::UnixMillis,
+        actions: &mut Vec<stream::StreamAction>,
+    ) {
+        if now.since(self.last_former_query) < FORMER_QUERY_INTERVAL_MS {
+            return;
+        }
+        let mut agents = self.table.undenied(services).peekable();
+        if agents.peek().is_some() {
+            self.last_former_query = now;
+        }
+        let find = message::StreamMessage::FindFormer;
+        actions.extend(agents.map(|agent| stream::StreamAction::Send(agent, find.clone())));
+    }
+
     /// Queries an agent that has returned for the streams whose searches lack its answer.
     pub(super) fn ask_returned_agent(
         &self,
@@ -208,7 +232,10 @@
         now: ids::UnixMillis,
     ) -> service_history::ServiceScope {
         match self.has_newest_config() {
-            true => self.service_history.scope(key.entry, self.service_at(key), now),
+            true => {
+                let generation = self.state.generation();
+                self.service_history.scope(key.entry, self.service_at(key), generation, now)
+            }
             false => service_history::ServiceScope::Any,
         }
     }
--- a/crates/core/src/stream/host_streams.rs
+++ b/crates/core/src/stream/host_streams.rs
@@ -354,6 +354,12 @@
         self.streams.get(&key)
     }
 
+    /// The entries of all streams that have not ended.
+    pub fn entries(&self) -> impl Iterator<Item = net::SocketAddrV4> {
+        let open = self.streams.iter().filter(|(_, stream)| stream.phase != WorkPhase::Ended);
+        open.map(|(key, _)| key.entry)
+    }
+
     /// Whether the backend server is known to hold a stream open.
     pub fn is_open(&self, key: segment::StreamKey) -> bool {
         self.streams
--- a/crates/core/src/stream/message.rs
+++ b/crates/core/src/stream/message.rs
@@ -212,8 +212,14 @@
     Balancer(BalancerReport),
     /// Members that a balancer receives reports from.
     Members(ReachableMembers),
-    /// Entries whose service has changed. Processes that do not know this message drop it.
+    /// Entries whose service has changed. Processes that do not know this message drop it, as the next two.
     FormerServices(FormerServices),
+    /// The sender asks whether the receiver's backend server may hold streams of entries that belong to
+    /// another service now.
+    FindFormer,
+    /// The sender's backend server holds no stream of an entry that belongs to another service in the
+    /// configuration of this generation, which the sender has.
+    NoFormer(ids::ConfigGeneration),
 }
 
 /// The kind of a message, for metrics.
@@ -241,11 +247,15 @@
     Members,
     /// Entries whose service has changed.
     FormerServices,
+    /// A balancer asks whether a backend server may hold streams of former services.
+    FindFormer,
+    /// A backend server holds no streams of former services.
+    NoFormer,
 }
 
 impl MessageKind {
     /// Every kind.
-    pub const ALL: [MessageKind; 11] = [
+    pub const ALL: [MessageKind; 13] = [
         MessageKind::Opening,
         MessageKind::Segment,
         MessageKind::Search,
@@ -257,6 +267,8 @@
         MessageKind::BalancerReport,
         MessageKind::Members,
         MessageKind::FormerServices,
+        MessageKind::FindFormer,
+        MessageKind::NoFormer,
     ];
 
     /// The name of the kind in metrics.
@@ -273,6 +285,8 @@
             MessageKind::BalancerReport => "balancer_report",
             MessageKind::Members => "members",
             MessageKind::FormerServices => "former_services",
+            MessageKind::FindFormer => "find_former",
+            MessageKind::NoFormer => "no_former",
         }
     }
 }
@@ -294,6 +308,8 @@
             StreamMessage::Balancer(_) => MessageKind::BalancerReport,
             StreamMessage::Members(_) => MessageKind::Members,
             StreamMessage::FormerServices(_) => MessageKind::FormerServices,
+            StreamMessage::FindFormer => MessageKind::FindFormer,
+            StreamMessage::NoFormer(_) => MessageKind::NoFormer,
         }
     }
 }
--- a/scripts/mutate.sh
+++ b/scripts/mutate.sh
@@ -175,11 +175,12 @@
 former-not-gossiped	crates/core/src/stream/balancer/neighbours.rs	s/recipient\.filter\(\|_\| !self\.service_history\.is_empty\(\)\)/recipient.filter(|_| false)/	-p rosemaryusher-core --test service_changed change_missed_briefly
 change-during-search	crates/core/src/stream/balancer/service_history.rs	s/change\.learned < since/change.learned >= since || true/	-p rosemaryusher-core --test service_changed history
 label-trusted	crates/core/src/stream/agent/admission.rs	s/carry\.service != self\.config\.service && self\.does_not_hold\(key, now\)/carry.service != self.config.service/	-p rosemaryusher-core --test service_changed other_label
-other-services-asked	crates/core/src/stream/balancer/service_history.rs	s/_ if self\.is_complete\(now\) => ServiceScope::Of\(services\),//	-p rosemaryusher-core --test service_changed other_services_not_asked
+other-services-asked	crates/core/src/stream/balancer/service_history.rs	s/true => ServiceScope::Of\(services\),/true => ServiceScope::Undenied(generation, services),/	-p rosemaryusher-core --test service_changed other_services_not_asked
 near-number-accepted	crates/core/src/stream/host_streams.rs	s/match is_seen_whole \{/match false \&\& is_seen_whole {/	-p rosemaryusher-core --test stream_halves near_initial_numbers
 near-number-after-restart	crates/core/src/stream/agent/admission.rs	s/self\.started\.plus\(host_streams::OPENING_MS\)/ids::UnixMillis(u64::MAX)/	-p rosemaryusher-core --test stream_halves near_initial_numbers
-started-host-asked	crates/core/src/stream/balancer/service_history.rs	s/host_started\.is_none_or\(\|at\| at < \*since\)/true/	-p rosemaryusher-core --test service_changed power_loss
-older-host-trusted	crates/core/src/stream/balancer/service_history.rs	s/host_started\.is_none_or\(\|at\| at < \*since\)/false/	-p rosemaryusher-core --test service_changed all_balancers_started
+former-denial-ignored	crates/core/src/stream/balancer/service_history.rs	s/\&\& denied != Some\(\*generation\)//	-p rosemaryusher-core --test service_changed power_loss
+undenied-left-out	crates/core/src/stream/balancer/service_history.rs	s/services\.contains\(\&service\) \|\| self\.awaits_denial\(service, denied\)/services.contains(\&service)/	-p rosemaryusher-core --test service_changed all_balancers_started
+former-stream-denied	crates/core/src/stream/agent/mod.rs	s/\&\& self\.host_streams\.entries\(\)\.all\(is_own\)//;s/let is_own =/let _is_own =/	-p rosemaryusher-core --test service_changed all_balancers_started
 TABLE
 }
 
