The list of members is read until it succeeds after a restored store lacked the announcement

Cause: found by reading. After a restore, a balancer whose announcement was lost wrote it again and then read the list in the same step. If the read failed, the announcement counted as settled and nothing read the list again: the balancer would have taken its members for incomplete for good and reset no dead stream.

Change: the step says that the announcement was written, and the loop that reads the list at start, with its retries, reads it again.

A read that fails in that moment is not brought about by a test.

--- a/crates/node/src/stream/announce.rs
+++ b/crates/node/src/stream/announce.rs
@@ -53,7 +53,8 @@
             if may_lack_announcement(&context) {
                 backoff::sleep_ms(backoff::random_delay(platform::ANNOUNCE_SPREAD_MS)).await;
                 let result = announce_again(&context).await;
-                context.record_platform_result(result).await;
+                has_read &= !matches!(result, Ok(AnnounceOutcome::Written));
+                context.record_platform_result(result.map(drop)).await;
             } else {
                 delay_ms = backoff::MIN_DELAY_MS;
             }
@@ -122,24 +123,33 @@
     announced.epoch.0 < context.status.store_epoch.load(atomic::Ordering::Relaxed)
 }
 
-/// Writes the announcement again if the restored store lacks it. Then also reads the list of members:
-/// processes that started meanwhile did not find this one.
-async fn announce_again(context: &context::ControlContext) -> Result<(), platform::StoreError> {
+/// What [`announce_again`] found in a restored store.
+enum AnnounceOutcome {
+    /// It holds the announcement.
+    Found,
+    /// It lacked the announcement, which is written again. Processes that started meanwhile did not find this
+    /// one, so the list of members must be read.
+    Written,
+}
+
+/// Writes the announcement again if the restored store lacks it.
+async fn announce_again(
+    context: &context::ControlContext,
+) -> Result<AnnounceOutcome, platform::StoreError> {
     let store = context.platform_client.borrow().store.clone();
     let found = store.get(&announcement_key(context)).await?;
     match found.filter(|object| is_own(context, object)) {
         Some(object) => {
             context.announced.set(Some(object.version));
             context.send_input(packets::StreamInput::Announced(object.version.epoch)).await;
+            Ok(AnnounceOutcome::Found)
         }
         None => {
             logs::event(&serde_json::json!({ "event": "announced_again" }));
             announce(context, platform::WriteCondition::Always).await?;
-            let objects = store.list(MEMBER_PREFIX, MEMBER_LIMIT).await?;
-            context.send_input(members_input(context, &objects)).await;
+            Ok(AnnounceOutcome::Written)
         }
     }
-    Ok(())
 }
 
 async fn announce_and_read(
