--- a/crates/core/src/stream/balancer/neighbours.rs
+++ b/crates/core/src/stream/balancer/neighbours.rs
@@ -205,7 +205,7 @@
     ///
     /// Gossip spreads members that started while the platform is unreachable, and shows which members
     /// still run. The recipient is drawn from all balancers, not from the neighbours, which seldom change:
-    /// so every balancer hears of every member sooner or later. Balancers that are leaving get it too, since
+    /// so every balancer learns of every member sooner or later. Balancers that are leaving get it too, since
     /// they still search for streams.
     pub(super) fn gossip_members(
         &mut self,
--- a/crates/core/tests/service_changed.rs
+++ b/crates/core/tests/service_changed.rs
@@ -289,7 +289,7 @@
     let new = open(&mut world, 0..1);
     world.blocked_links.clear();
     let generation = ids::ConfigGeneration(2);
-    let heard = message::StreamMessage::Balancer(message::BalancerReport {
+    let newer_report = message::StreamMessage::Balancer(message::BalancerReport {
         data_centre: ids::hash_data_centre("near"),
         generation,
         is_leaving: false,
@@ -299,7 +299,7 @@
         store_epoch: Default::default(),
         wants_reports: true,
     });
-    let event = stream::StreamEvent::Message { from: first, message: &heard, head: None };
+    let event = stream::StreamEvent::Message { from: first, message: &newer_report, head: None };
     let mut actions = Vec::new();
     let balancer = world.balancers.get_mut(&second).expect("the balancer runs");
     balancer.handle(world.now, event, &mut actions);
